--- /dev/null
+++ b/Source/Core/Common/Common.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public header of the Common library: identifiers, time, endpoints, findings
+/// and hashing.
+
+#include "Common/Endpoint.h"
+#include "Common/Finding.h"
+#include "Common/Hash.h"
+#include "Common/Ids.h"
+#include "Common/Time.h"
--- /dev/null
+++ b/Source/Core/Common/Time.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <chrono>
+
+namespace pistachio {
+
+using Duration = std::chrono::milliseconds;
+
+/// Steady time, handed to the decision libraries by their carrier. They never
+/// read a clock.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Runtime/Runtime.h
@@ -0,0 +1,146 @@
+#pragma once
+
+/// Public header of the Runtime library: the Asio carriers that the daemons put
+/// round the decision libraries.
+
+#include "Common/Common.h"
+#include "Wire/Wire.h"
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace pistachio {
+
+/// The present time of the steady clock.
+TimePoint steadyNow();
+
+/// Milliseconds since the Unix epoch.
+std::uint64_t wallClockMs();
+
+/// Start time and random bits.
+Incarnation makeIncarnation();
+
+/// A UDP socket. The handler runs on the context's threads, one datagram at a
+/// time for each socket.
+class UdpEndpoint {
+public:
+  using Handler =
+      std::function<void(std::span<const std::byte> buf, const Endpoint &from)>;
+  virtual ~UdpEndpoint() = default;
+  virtual Endpoint endpoint() const = 0;
+  /// Thread-safe. A datagram that cannot be sent is dropped and counted, as on
+  /// any network.
+  virtual void send(std::span<const std::byte> buf, const Endpoint &to) = 0;
+  virtual std::uint64_t droppedSends() const = 0;
+  virtual void stop() = 0;
+};
+
+/// \p reusePort lets several sockets share the port; the kernel spreads
+/// datagrams over them.
+absl::StatusOr<std::unique_ptr<UdpEndpoint>>
+openUdp(boost::asio::io_context &context, const Endpoint &local,
+        UdpEndpoint::Handler handler, bool reusePort = false);
+
+/// Identifies a connection within its TcpServer or TcpClient. Never reused.
+using ConnectionId = StrongId<struct ConnectionIdTag, std::uint64_t>;
+
+/// Callbacks of a framed TCP channel. Each frame is one whole envelope, body
+/// included. A peer that sends bytes that are no envelope is disconnected.
+struct TcpHandlers {
+  std::function<void(ConnectionId)> OnOpen;
+  std::function<void(ConnectionId, std::span<const std::byte> frame)> OnFrame;
+  std::function<void(ConnectionId)> OnClose;
+};
+
+class TcpServer {
+public:
+  virtual ~TcpServer() = default;
+  virtual Endpoint endpoint() const = 0;
+  /// Queues a frame. A connection whose queue exceeds its bound (8 MiB) is
+  /// closed.
+  virtual void send(ConnectionId connection,
+                    std::span<const std::byte> frame) = 0;
+  virtual void close(ConnectionId connection) = 0;
+  virtual void stop() = 0;
+};
+
+absl::StatusOr<std::unique_ptr<TcpServer>>
+listenTcp(boost::asio::io_context &context, const Endpoint &local,
+          TcpHandlers handlers);
+
+/// Keeps one connection to the first of several servers that answers, and
+/// reconnects with jittered back-off, going on to the next server each time.
+class TcpClient {
+public:
+  virtual ~TcpClient() = default;
+  virtual bool isOpen() const = 0;
+  /// Dropped if there is no connection.
+  virtual void send(std::span<const std::byte> frame) = 0;
+  /// Closes the present connection and goes on to the next server.
+  virtual void reconnect() = 0;
+  virtual void stop() = 0;
+};
+
+std::unique_ptr<TcpClient> connectTcp(boost::asio::io_context &context,
+                                      std::vector<Endpoint> servers,
+                                      TcpHandlers handlers);
+
+struct HttpRequest {
+  std::string Method;
+  std::string Path;
+  Bytes Body;
+  /// Sent as Idempotency-Key.
+  std::string IdempotencyKey;
+  /// Sent as X-Request-Deadline-Ms; the connection is closed once it has
+  /// passed.
+  Duration Deadline{0};
+};
+
+struct HttpAnswer {
+  int Status = 0;
+  Bytes Body;
+  /// From Retry-After; 0 if there is none.
+  Duration RetryAfter{0};
+};
+
+using HttpCallId = StrongId<struct HttpCallIdTag, std::uint64_t>;
+
+/// HTTP/1.1 client towards the back end beside the agent. Errors: Unavailable
+/// if no byte of the request was sent (the connection was refused), Unknown if
+/// the request may have been received.
+class BackEndClient {
+public:
+  using Handler = std::function<void(absl::StatusOr<HttpAnswer>)>;
+  virtual ~BackEndClient() = default;
+  virtual HttpCallId call(HttpRequest request, Handler done) = 0;
+  /// Closes the connection of a call; its handler is not run.
+  virtual void cancel(HttpCallId call) = 0;
+};
+
+std::unique_ptr<BackEndClient>
+makeBackEndClient(boost::asio::io_context &context, const Endpoint &backEnd);
+
+/// Runs \p step every \p interval until stopped.
+class PeriodicTimer {
+public:
+  virtual ~PeriodicTimer() = default;
+  virtual void stop() = 0;
+};
+
+std::unique_ptr<PeriodicTimer> startTimer(boost::asio::io_context &context,
+                                          Duration interval,
+                                          std::function<void()> step);
+
+/// Runs \p stop once on SIGTERM or SIGINT.
+void onStopSignal(boost::asio::io_context &context, std::function<void()> stop);
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/Codec.h
@@ -0,0 +1,297 @@
+#pragma once
+
+// Private to message libraries: pulls in cereal. Include it in .cpp files only.
+
+#include "Common/Common.h"
+#include "Wire/Envelope.h"
+
+#include "absl/status/statusor.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <array>
+#include <cstring>
+#include <istream>
+#include <ostream>
+#include <span>
+#include <streambuf>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pistachio {
+
+/// Read-only stream buffer over received bytes.
+class InputSpanBuffer : public std::streambuf {
+public:
+  explicit InputSpanBuffer(std::span<const std::byte> buf) {
+    // The get area is never written to; streambuf has no const interface.
+    char *begin =
+        const_cast<char *>(reinterpret_cast<const char *>(buf.data()));
+    setg(begin, begin, begin + buf.size());
+  }
+  std::size_t remaining() const {
+    return static_cast<std::size_t>(egptr() - gptr());
+  }
+};
+
+/// Appends to a byte vector.
+class OutputVectorBuffer : public std::streambuf {
+public:
+  explicit OutputVectorBuffer(Bytes &out) : Out(out) {}
+
+protected:
+  std::streamsize xsputn(const char *text, std::streamsize n) override {
+    const auto *begin = reinterpret_cast<const std::byte *>(text);
+    Out.insert(Out.end(), begin, begin + n);
+    return n;
+  }
+  int_type overflow(int_type c) override {
+    if (c != traits_type::eof())
+      Out.push_back(static_cast<std::byte>(c));
+    return c;
+  }
+
+private:
+  Bytes &Out;
+};
+
+/// An input archive that knows how many bytes are left, so that a length field
+/// is checked before anything is allocated.
+class InputArchive : public cereal::PortableBinaryInputArchive {
+public:
+  InputArchive(std::istream &stream, const InputSpanBuffer &buffer)
+      : cereal::PortableBinaryInputArchive(stream), Buffer(buffer) {}
+  std::size_t remaining() const { return Buffer.remaining(); }
+
+private:
+  const InputSpanBuffer &Buffer;
+};
+
+using OutputArchive = cereal::PortableBinaryOutputArchive;
+
+/// Reads an element count and checks it against \p max and the bytes that are
+/// left.
+inline std::size_t readCount(InputArchive &archive, std::size_t max,
+                             std::size_t elementBytes) {
+  std::uint32_t n = 0;
+  static_cast<cereal::PortableBinaryInputArchive &>(archive)(n);
+  if (n > max || n * elementBytes > archive.remaining())
+    throw cereal::Exception("length field exceeds the message");
+  return n;
+}
+
+// The functions below are the whole vocabulary of a message: field() for
+// scalars, ids and nested messages, bytes() and text() and list() for bounded
+// containers. Each message has one `template <class Archive> void
+// fields(Archive &, Message &)`.
+
+template <typename T>
+concept Scalar = std::is_arithmetic_v<T> || std::is_enum_v<T>;
+
+template <typename Archive, Scalar T> void field(Archive &archive, T &value) {
+  constexpr bool IsInput = std::is_same_v<Archive, InputArchive>;
+  if constexpr (std::is_enum_v<T>) {
+    auto raw = static_cast<std::underlying_type_t<T>>(value);
+    field(archive, raw);
+    if constexpr (IsInput) {
+      if (raw > static_cast<std::underlying_type_t<T>>(T::Max))
+        throw cereal::Exception("unknown enumeration value");
+      value = static_cast<T>(raw);
+    }
+  } else if constexpr (std::is_same_v<T, bool>) {
+    std::uint8_t raw = value ? 1 : 0;
+    field(archive, raw);
+    if (raw > 1)
+      throw cereal::Exception("a truth value is neither 0 nor 1");
+    value = raw == 1;
+  } else if constexpr (IsInput) {
+    static_cast<cereal::PortableBinaryInputArchive &>(archive)(value);
+  } else {
+    archive(value);
+  }
+}
+
+template <typename Archive, typename Tag, typename Rep>
+void field(Archive &archive, StrongId<Tag, Rep> &id) {
+  field(archive, id.Value);
+}
+
+template <typename Archive> void field(Archive &archive, RequestId &id) {
+  field(archive, id.High);
+  field(archive, id.Low);
+}
+
+template <typename Archive> void field(Archive &archive, Endpoint &endpoint) {
+  field(archive, endpoint.Address);
+  field(archive, endpoint.Port);
+}
+
+template <typename Container>
+void rawBytes(InputArchive &archive, Container &out, std::size_t max) {
+  out.resize(readCount(archive, max, 1));
+  if (!out.empty())
+    archive.loadBinary<1>(out.data(), static_cast<std::streamsize>(out.size()));
+}
+
+template <typename Container>
+void rawBytes(OutputArchive &archive, Container &in, std::size_t max) {
+  if (in.size() > max)
+    throw cereal::Exception("a field is longer than its bound");
+  auto n = static_cast<std::uint32_t>(in.size());
+  archive(n);
+  if (n != 0)
+    archive.saveBinary<1>(in.data(), static_cast<std::streamsize>(n));
+}
+
+template <typename Archive>
+void bytes(Archive &archive, Bytes &value, std::size_t max) {
+  rawBytes(archive, value, max);
+}
+
+template <typename Archive>
+void text(Archive &archive, std::string &value, std::size_t max) {
+  rawBytes(archive, value, max);
+}
+
+template <typename Archive, typename Tag, typename Rep>
+void fields(Archive &archive, StrongId<Tag, Rep> &id) {
+  field(archive, id);
+}
+
+/// A list of messages; \p elementBytes is the least encoded size of one of
+/// them.
+template <typename T>
+void list(InputArchive &archive, std::vector<T> &items, std::size_t max,
+          std::size_t elementBytes) {
+  items.resize(readCount(archive, max, elementBytes));
+  for (T &it : items)
+    fields(archive, it);
+}
+
+template <typename T>
+void list(OutputArchive &archive, std::vector<T> &items, std::size_t max,
+          std::size_t /*elementBytes*/) {
+  if (items.size() > max)
+    throw cereal::Exception("a list is longer than its bound");
+  auto n = static_cast<std::uint32_t>(items.size());
+  archive(n);
+  for (T &it : items)
+    fields(archive, it);
+}
+
+inline void texts(InputArchive &archive, std::vector<std::string> &items,
+                  std::size_t max, std::size_t maxText) {
+  items.resize(readCount(archive, max, sizeof(std::uint32_t)));
+  for (std::string &it : items)
+    text(archive, it, maxText);
+}
+
+inline void texts(OutputArchive &archive, std::vector<std::string> &items,
+                  std::size_t max, std::size_t maxText) {
+  if (items.size() > max)
+    throw cereal::Exception("a list is longer than its bound");
+  auto n = static_cast<std::uint32_t>(items.size());
+  archive(n);
+  for (std::string &it : items)
+    text(archive, it, maxText);
+}
+
+inline void storeLittle(std::byte *out, std::uint64_t value, int n) {
+  for (int i = 0; i < n; ++i)
+    out[i] = static_cast<std::byte>(value >> (8 * i));
+}
+
+inline std::uint64_t loadLittle(const std::byte *in, int n) {
+  std::uint64_t value = 0;
+  for (int i = 0; i < n; ++i)
+    value |= std::uint64_t{static_cast<std::uint8_t>(in[i])} << (8 * i);
+  return value;
+}
+
+/// Appends the envelope of \p message to \p out. \p firstType is the type
+/// number of the first alternative of the channel's variant. A message that
+/// exceeds its bounds is a bug of the sender and ends in InvalidArgument with
+/// \p out unchanged.
+template <typename Variant>
+absl::Status encodeVariant(const Variant &message, std::uint8_t firstType,
+                           std::size_t maxBody, Bytes &out) {
+  const std::size_t start = out.size();
+  out.resize(start + EnvelopeBytes);
+  try {
+    OutputVectorBuffer buffer(out);
+    std::ostream stream(&buffer);
+    OutputArchive archive(stream, OutputArchive::Options::LittleEndian());
+    // fields() serves both directions and takes a mutable reference; writing
+    // does not alter it.
+    std::visit([&](auto &it) { fields(archive, it); },
+               const_cast<Variant &>(message));
+  } catch (const cereal::Exception &e) {
+    out.resize(start);
+    return absl::InvalidArgumentError(e.what());
+  }
+  const std::size_t n = out.size() - start - EnvelopeBytes;
+  if (n > maxBody) {
+    out.resize(start);
+    return absl::InvalidArgumentError("message body exceeds its bound");
+  }
+  std::byte *header = out.data() + start;
+  storeLittle(header, WireMagic, 2);
+  storeLittle(header + 2, WireVersion, 1);
+  storeLittle(header + 3, firstType + message.index(), 1);
+  storeLittle(header + 4, n, 4);
+  storeLittle(header + 8,
+              checksum32(std::span<const std::byte>(header + EnvelopeBytes, n)),
+              4);
+  return absl::OkStatus();
+}
+
+template <typename Variant, std::size_t Index = 0>
+void decodeAlternative(InputArchive &archive, std::size_t index,
+                       Variant &message) {
+  if constexpr (Index < std::variant_size_v<Variant>) {
+    if (index == Index)
+      fields(archive, message.template emplace<Index>());
+    else
+      decodeAlternative<Variant, Index + 1>(archive, index, message);
+  }
+}
+
+template <typename Variant>
+absl::StatusOr<Variant> decodeVariant(std::span<const std::byte> buf,
+                                      std::uint8_t firstType,
+                                      std::size_t maxBody) {
+  if (buf.size() < EnvelopeBytes)
+    return absl::InvalidArgumentError("message is shorter than its envelope");
+  if (loadLittle(buf.data(), 2) != WireMagic)
+    return absl::InvalidArgumentError(
+        "message does not start with the magic number");
+  if (loadLittle(buf.data() + 2, 1) != WireVersion)
+    return absl::InvalidArgumentError("message has another version");
+  const std::uint64_t type = loadLittle(buf.data() + 3, 1);
+  if (type < firstType || type - firstType >= std::variant_size_v<Variant>)
+    return absl::InvalidArgumentError(
+        "message type does not belong to this channel");
+  const std::span<const std::byte> body = buf.subspan(EnvelopeBytes);
+  const std::uint64_t length = loadLittle(buf.data() + 4, 4);
+  if (length > maxBody || length != body.size())
+    return absl::InvalidArgumentError(
+        "message length does not match its envelope");
+  if (loadLittle(buf.data() + 8, 4) != checksum32(body))
+    return absl::InvalidArgumentError("message checksum does not match");
+  Variant message;
+  try {
+    InputSpanBuffer buffer(body);
+    std::istream stream(&buffer);
+    InputArchive archive(stream, buffer);
+    decodeAlternative(archive, static_cast<std::size_t>(type - firstType),
+                      message);
+    if (buffer.remaining() != 0)
+      return absl::InvalidArgumentError("message has trailing bytes");
+  } catch (const cereal::Exception &e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+  return message;
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/ConsensusMessages.cpp
@@ -0,0 +1,82 @@
+#include "Wire/ConsensusMessages.h"
+
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint8_t FirstConsensusType = 96;
+constexpr std::size_t MaxMemberListBytes = 4096;
+constexpr std::size_t LogEntryBytes = 21;
+
+} // namespace
+
+template <typename Archive> void fields(Archive &archive, LogEntry &it) {
+  field(archive, it.Term);
+  field(archive, it.Index);
+  field(archive, it.Kind);
+  bytes(archive, it.Payload, MaxEntryBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, VoteRequest &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.LastIndex);
+  field(archive, it.LastTerm);
+  field(archive, it.PreVote);
+}
+
+template <typename Archive> void fields(Archive &archive, VoteReply &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.PreVote);
+  field(archive, it.Granted);
+}
+
+template <typename Archive> void fields(Archive &archive, AppendRequest &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.PreviousIndex);
+  field(archive, it.PreviousTerm);
+  field(archive, it.CommitIndex);
+  field(archive, it.Round);
+  list(archive, it.Entries, MaxEntriesInAppend, LogEntryBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, AppendReply &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.Round);
+  field(archive, it.Success);
+  field(archive, it.MatchIndex);
+}
+
+template <typename Archive> void fields(Archive &archive, SnapshotPart &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.LastIndex);
+  field(archive, it.LastTerm);
+  field(archive, it.Offset);
+  field(archive, it.TotalBytes);
+  field(archive, it.Checksum);
+  bytes(archive, it.Members, MaxMemberListBytes);
+  bytes(archive, it.Content, MaxSnapshotPartBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, SnapshotReply &it) {
+  field(archive, it.From);
+  field(archive, it.Term);
+  field(archive, it.LastIndex);
+  field(archive, it.Received);
+}
+
+absl::StatusOr<ConsensusMessage>
+decodeConsensus(std::span<const std::byte> buf) {
+  return decodeVariant<ConsensusMessage>(buf, FirstConsensusType, MaxBodyBytes);
+}
+
+absl::Status encodeConsensus(const ConsensusMessage &message, Bytes &out) {
+  return encodeVariant(message, FirstConsensusType, MaxBodyBytes, out);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -0,0 +1,92 @@
+#include "Wire/DataMessages.h"
+
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint8_t FirstDataType = 1;
+constexpr std::size_t MaxNodeName = 64;
+constexpr std::size_t CandidateBytes = 19;
+
+} // namespace
+
+template <typename Archive> void fields(Archive &archive, UpstreamToken &it) {
+  field(archive, it.Upstream);
+  field(archive, it.Run);
+}
+
+template <typename Archive> void fields(Archive &archive, CallerPacket &it) {
+  field(archive, it.ServiceAddress);
+  field(archive, it.Caller);
+  field(archive, it.Flow);
+  field(archive, it.Flags);
+  fields(archive, it.Token);
+  bytes(archive, it.Payload, MaxPayloadBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, Candidate &it) {
+  field(archive, it.Upstream);
+  field(archive, it.Run);
+  field(archive, it.Address);
+  field(archive, it.State);
+}
+
+template <typename Archive> void fields(Archive &archive, ForwardedPacket &it) {
+  fields(archive, it.Packet);
+  field(archive, it.Service);
+  field(archive, it.Bucket);
+  field(archive, it.Kind);
+  field(archive, it.HopCount);
+  field(archive, it.FirstRank);
+  field(archive, it.ChainIndex);
+  field(archive, it.EndsRanking);
+  field(archive, it.SkippedSuspect);
+  field(archive, it.OriginBalancer);
+  field(archive, it.TableRevision);
+  list(archive, it.Chain, MaxChain, CandidateBytes);
+  fields(archive, it.Prober);
+  field(archive, it.SenderLoad);
+  field(archive, it.Sender);
+}
+
+template <typename Archive> void fields(Archive &archive, ChainExhausted &it) {
+  fields(archive, it.Forwarded);
+}
+template <typename Archive> void fields(Archive &archive, ProbeMissed &it) {
+  fields(archive, it.Forwarded);
+}
+
+template <typename Archive> void fields(Archive &archive, LoadReport &it) {
+  field(archive, it.Upstream);
+  field(archive, it.Load);
+}
+
+template <typename Archive> void fields(Archive &archive, CallerAnswer &it) {
+  field(archive, it.Flow);
+  field(archive, it.Kind);
+  fields(archive, it.Token);
+  field(archive, it.RetryAfterMs);
+  bytes(archive, it.Payload, MaxPayloadBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, PeerLeaseQuery &it) {
+  text(archive, it.Node, MaxNodeName);
+  field(archive, it.Have);
+}
+
+template <typename Archive> void fields(Archive &archive, PeerLeaseAnswer &it) {
+  text(archive, it.Node, MaxNodeName);
+  field(archive, it.RemainingMs);
+  field(archive, it.Have);
+}
+
+absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf) {
+  return decodeVariant<DataMessage>(buf, FirstDataType, MaxDatagramBytes);
+}
+
+absl::Status encodeData(const DataMessage &message, Bytes &out) {
+  return encodeVariant(message, FirstDataType, MaxDatagramBytes, out);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/DataMessages.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "Common/Common.h"
+#include "Wire/Envelope.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pistachio {
+
+/// Flags of a caller packet.
+namespace PacketFlag {
+/// The packet asks to open the flow.
+inline constexpr std::uint8_t First = 1;
+/// The caller has seen an accept for the flow, so silence about it would be a
+/// lost flow.
+inline constexpr std::uint8_t Established = 2;
+/// The caller closes the flow.
+inline constexpr std::uint8_t Last = 4;
+} // namespace PacketFlag
+
+/// Names the agent that holds a flow. Callers echo it; None() if they do not.
+struct UpstreamToken {
+  UpstreamId Upstream;
+  Incarnation Run;
+  friend bool operator==(const UpstreamToken &,
+                         const UpstreamToken &) = default;
+};
+
+/// One packet of a caller, as the fabric hands it to a balancer.
+struct CallerPacket {
+  Endpoint ServiceAddress;
+  Endpoint Caller;
+  FlowId Flow;
+  std::uint8_t Flags = 0;
+  UpstreamToken Token;
+  Bytes Payload;
+  friend bool operator==(const CallerPacket &, const CallerPacket &) = default;
+};
+
+/// State of a candidate as the balancer's table has it.
+enum class CandidateState : std::uint8_t {
+  Accepting,
+  /// Keeps its flows, takes no new ones.
+  Draining,
+  /// Missed its renewals; may be dead.
+  Suspect,
+  Max = Suspect
+};
+
+/// One entry of a candidate chain.
+struct Candidate {
+  UpstreamId Upstream;
+  Incarnation Run;
+  Endpoint Address;
+  CandidateState State = CandidateState::Accepting;
+  friend bool operator==(const Candidate &, const Candidate &) = default;
+};
+
+/// Entries of one chain; a longer ranking is walked in several chains.
+inline constexpr std::size_t MaxChain = 4;
+
+/// Agents drop a packet that has been handed on this often, which ends any
+/// cycle between agents whose balancers have different tables.
+inline constexpr std::uint8_t MaxHops = 32;
+
+enum class ForwardKind : std::uint8_t {
+  /// Walks the ranking; a first packet may be accepted on the way.
+  Ranked,
+  /// Sent straight to the upstream that the token names; Chain holds that entry
+  /// alone.
+  Token,
+  /// Looks for an existing flow only. The last entry returns it to Prober with
+  /// ProbeMissed.
+  Probe,
+  Max = Probe
+};
+
+/// A caller packet on its way to an agent or between agents.
+struct ForwardedPacket {
+  CallerPacket Packet;
+  ServiceId Service;
+  /// Upper 12 bits of the flow hash.
+  std::uint16_t Bucket = 0;
+  ForwardKind Kind = ForwardKind::Ranked;
+  std::uint8_t HopCount = 0;
+  /// Rank of Chain[0] in the whole ranking.
+  std::uint16_t FirstRank = 0;
+  /// Entry of Chain that this message is for.
+  std::uint8_t ChainIndex = 0;
+  /// Set if Chain ends with the last member of the ranking.
+  bool EndsRanking = false;
+  /// Set if a member of the ranking was left out because it is suspect: nobody
+  /// may then conclude that the flow does not exist.
+  bool SkippedSuspect = false;
+  Endpoint OriginBalancer;
+  Revision TableRevision;
+  std::vector<Candidate> Chain;
+  /// Kind Probe only: the agent that asks.
+  Candidate Prober;
+  /// Load of the agent that hands the packet on, in permille of its limit.
+  std::uint16_t SenderLoad = 0;
+  UpstreamId Sender;
+  friend bool operator==(const ForwardedPacket &,
+                         const ForwardedPacket &) = default;
+};
+
+/// Agent to balancer: no entry of the chain knows the flow, and the ranking
+/// goes on.
+struct ChainExhausted {
+  ForwardedPacket Forwarded;
+  friend bool operator==(const ChainExhausted &,
+                         const ChainExhausted &) = default;
+};
+
+/// Agent to agent: no earlier owner knows the flow of this first packet.
+struct ProbeMissed {
+  ForwardedPacket Forwarded;
+  friend bool operator==(const ProbeMissed &, const ProbeMissed &) = default;
+};
+
+/// Agent to agent: answer to a hand-over, for the choice between two
+/// candidates.
+struct LoadReport {
+  UpstreamId Upstream;
+  /// In permille of the admission limit.
+  std::uint16_t Load = 0;
+  friend bool operator==(const LoadReport &, const LoadReport &) = default;
+};
+
+enum class AnswerKind : std::uint8_t {
+  /// The flow is open; Token names its agent.
+  Accept,
+  /// Payload is a session message of the agent.
+  Data,
+  /// Nobody holds the flow. The caller opens a new one.
+  Reset,
+  /// The first packet was refused; RetryAfter says when to try again. Nothing
+  /// was run.
+  Refused,
+  /// The flow is closed.
+  Closed,
+  Max = Closed
+};
+
+/// What a caller receives, from an agent or (Reset, Refused) from a balancer.
+struct CallerAnswer {
+  FlowId Flow;
+  AnswerKind Kind = AnswerKind::Data;
+  UpstreamToken Token;
+  /// Refused only, in milliseconds.
+  std::uint32_t RetryAfterMs = 0;
+  Bytes Payload;
+  friend bool operator==(const CallerAnswer &, const CallerAnswer &) = default;
+};
+
+/// Balancer to balancer: asks for a lease when control cannot be reached.
+struct PeerLeaseQuery {
+  std::string Node;
+  Revision Have;
+  friend bool operator==(const PeerLeaseQuery &,
+                         const PeerLeaseQuery &) = default;
+};
+
+struct PeerLeaseAnswer {
+  std::string Node;
+  /// 0 if the peer has no lease either.
+  std::uint32_t RemainingMs = 0;
+  Revision Have;
+  friend bool operator==(const PeerLeaseAnswer &,
+                         const PeerLeaseAnswer &) = default;
+};
+
+using DataMessage =
+    std::variant<CallerPacket, ForwardedPacket, ChainExhausted, ProbeMissed,
+                 LoadReport, CallerAnswer, PeerLeaseQuery, PeerLeaseAnswer>;
+
+absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf);
+
+/// Appends to \p out. InvalidArgument if a field exceeds its bound.
+absl::Status encodeData(const DataMessage &message, Bytes &out);
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/LogCommands.cpp
@@ -0,0 +1,60 @@
+#include "Wire/LogCommands.h"
+
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint8_t FirstCommandType = 128;
+
+} // namespace
+
+template <typename Archive> void fields(Archive &archive, ApplyRules &it) {
+  text(archive, it.OperationId, MaxOperationIdBytes);
+  field(archive, it.ExpectedRevision);
+  text(archive, it.Team, MaxNameBytes);
+  text(archive, it.Operator, MaxNameBytes);
+  text(archive, it.Rules, MaxRulesBytes);
+  field(archive, it.ProposedAtMs);
+}
+
+template <typename Archive> void fields(Archive &archive, UpstreamJoined &it) {
+  text(archive, it.Service, MaxNameBytes);
+  text(archive, it.DataCentre, MaxNameBytes);
+  text(archive, it.Zone, MaxNameBytes);
+  text(archive, it.Machine, MaxNameBytes);
+  field(archive, it.Address);
+  field(archive, it.Run);
+  field(archive, it.Slots);
+}
+
+template <typename Archive> void fields(Archive &archive, UpstreamChanged &it) {
+  field(archive, it.Upstream);
+  field(archive, it.Run);
+  field(archive, it.State);
+}
+
+template <typename Archive> void fields(Archive &archive, UpstreamLeft &it) {
+  field(archive, it.Upstream);
+  field(archive, it.Run);
+}
+
+template <typename Archive> void fields(Archive &archive, BalancerJoined &it) {
+  text(archive, it.Name, MaxNameBytes);
+  text(archive, it.DataCentre, MaxNameBytes);
+  field(archive, it.Address);
+}
+
+template <typename Archive> void fields(Archive &archive, BalancerLeft &it) {
+  text(archive, it.Name, MaxNameBytes);
+}
+
+absl::StatusOr<LogCommand> decodeCommand(std::span<const std::byte> buf) {
+  return decodeVariant<LogCommand>(buf, FirstCommandType, MaxBodyBytes);
+}
+
+absl::Status encodeCommand(const LogCommand &message, Bytes &out) {
+  return encodeVariant(message, FirstCommandType, MaxBodyBytes, out);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -0,0 +1,102 @@
+#include "Wire/NodeMessages.h"
+
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint8_t FirstNodeType = 64;
+constexpr std::size_t MaxReasonBytes = 512;
+
+} // namespace
+
+template <typename Archive> void fields(Archive &archive, ServiceRecord &it) {
+  field(archive, it.Id);
+  text(archive, it.Name, MaxNameBytes);
+  field(archive, it.Address);
+}
+
+template <typename Archive>
+void fields(Archive &archive, DataCentreRecord &it) {
+  field(archive, it.Id);
+  text(archive, it.Name, MaxNameBytes);
+  field(archive, it.Out);
+}
+
+template <typename Archive> void fields(Archive &archive, UpstreamRecord &it) {
+  field(archive, it.Id);
+  field(archive, it.Service);
+  field(archive, it.DataCentre);
+  field(archive, it.Address);
+  field(archive, it.Run);
+  field(archive, it.State);
+}
+
+template <typename Archive> void fields(Archive &archive, BalancerRecord &it) {
+  text(archive, it.Name, MaxNameBytes);
+  field(archive, it.DataCentre);
+  field(archive, it.Address);
+}
+
+template <typename Archive> void fields(Archive &archive, TableUpdate &it) {
+  field(archive, it.From);
+  field(archive, it.To);
+  field(archive, it.Reset);
+  field(archive, it.Part);
+  field(archive, it.Parts);
+  list(archive, it.Services, MaxRecordsInUpdate, 14);
+  list(archive, it.DataCentres, MaxRecordsInUpdate, 7);
+  list(archive, it.Upstreams, MaxRecordsInUpdate, 25);
+  list(archive, it.Balancers, MaxRecordsInUpdate, 12);
+  list(archive, it.RemovedServices, MaxRecordsInUpdate, 4);
+  list(archive, it.RemovedDataCentres, MaxRecordsInUpdate, 2);
+  list(archive, it.RemovedUpstreams, MaxRecordsInUpdate, 4);
+  texts(archive, it.RemovedBalancers, MaxRecordsInUpdate, MaxNameBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, Subscribe &it) {
+  text(archive, it.Node, MaxNameBytes);
+  text(archive, it.DataCentre, MaxNameBytes);
+  field(archive, it.Address);
+  field(archive, it.Have);
+}
+
+template <typename Archive> void fields(Archive &archive, LeaseRequest &it) {
+  text(archive, it.Node, MaxNameBytes);
+  field(archive, it.Have);
+}
+
+template <typename Archive> void fields(Archive &archive, LeaseGrant &it) {
+  field(archive, it.ValidMs);
+  field(archive, it.Committed);
+}
+
+template <typename Archive> void fields(Archive &archive, Announce &it) {
+  text(archive, it.Service, MaxNameBytes);
+  text(archive, it.DataCentre, MaxNameBytes);
+  text(archive, it.Zone, MaxNameBytes);
+  text(archive, it.Machine, MaxNameBytes);
+  field(archive, it.Address);
+  field(archive, it.Run);
+  field(archive, it.Slots);
+  field(archive, it.Flows);
+  field(archive, it.Draining);
+  field(archive, it.Leaving);
+}
+
+template <typename Archive> void fields(Archive &archive, AnnounceReply &it) {
+  field(archive, it.Result);
+  field(archive, it.Upstream);
+  field(archive, it.Service);
+  text(archive, it.Reason, MaxReasonBytes);
+}
+
+absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf) {
+  return decodeVariant<NodeMessage>(buf, FirstNodeType, MaxBodyBytes);
+}
+
+absl::Status encodeNode(const NodeMessage &message, Bytes &out) {
+  return encodeVariant(message, FirstNodeType, MaxBodyBytes, out);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Wire/SessionMessages.cpp
@@ -0,0 +1,72 @@
+#include "Wire/SessionMessages.h"
+
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint8_t FirstSessionType = 32;
+constexpr std::size_t MaxMethod = 8;
+constexpr std::size_t MaxPath = 96;
+
+} // namespace
+
+template <typename Archive> void fields(Archive &archive, RequestSegment &it) {
+  field(archive, it.Request);
+  text(archive, it.Method, MaxMethod);
+  text(archive, it.Path, MaxPath);
+  field(archive, it.Idempotent);
+  field(archive, it.DeadlineMs);
+  field(archive, it.TotalBytes);
+  field(archive, it.Offset);
+  field(archive, it.Checksum);
+  bytes(archive, it.Content, SegmentBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, SegmentAck &it) {
+  field(archive, it.Request);
+  field(archive, it.Received);
+}
+
+template <typename Archive> void fields(Archive &archive, AnswerSegment &it) {
+  field(archive, it.Request);
+  field(archive, it.Status);
+  field(archive, it.TotalBytes);
+  field(archive, it.Offset);
+  field(archive, it.Checksum);
+  bytes(archive, it.Content, SegmentBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, AnswerAck &it) {
+  field(archive, it.Request);
+  field(archive, it.Received);
+  field(archive, it.Complete);
+}
+
+template <typename Archive> void fields(Archive &archive, NotRun &it) {
+  field(archive, it.Request);
+  field(archive, it.Reason);
+  field(archive, it.RetryAfterMs);
+}
+
+template <typename Archive> void fields(Archive &archive, OutcomeUnknown &it) {
+  field(archive, it.Request);
+}
+template <typename Archive> void fields(Archive &archive, CancelRequest &it) {
+  field(archive, it.Request);
+}
+template <typename Archive> void fields(Archive &archive, KeepAlive &it) {
+  field(archive, it.Sequence);
+}
+
+absl::StatusOr<SessionMessage> decodeSession(std::span<const std::byte> buf) {
+  return decodeVariant<SessionMessage>(buf, FirstSessionType,
+                                       MaxPayloadBytes - EnvelopeBytes);
+}
+
+absl::Status encodeSession(const SessionMessage &message, Bytes &out) {
+  return encodeVariant(message, FirstSessionType,
+                       MaxPayloadBytes - EnvelopeBytes, out);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Common/FindingTest.cpp
@@ -0,0 +1,20 @@
+#include "Common/Common.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachio {
+namespace {
+
+// Guards against findings that lose their place or all but the first of them.
+TEST(FindingTest, ReportsAllWithPlace) {
+  Findings findings;
+  EXPECT_TRUE(findings.toStatus().ok());
+  findings.add({"rules.txt", 3, 7, "unknown service 'a'"});
+  findings.add({"rules.txt", 0, 0, "file is empty"});
+  EXPECT_EQ(findings.format(),
+            "rules.txt:3:7: unknown service 'a'\nrules.txt: file is empty\n");
+  EXPECT_EQ(findings.toStatus().code(), absl::StatusCode::kInvalidArgument);
+}
+
+} // namespace
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "Wire/Wire.h"
+
+#include <vector>
+
+namespace pistachio {
+
+inline Bytes sampleBytes(std::size_t n) {
+  Bytes buf(n);
+  for (std::size_t i = 0; i < n; ++i)
+    buf[i] = static_cast<std::byte>(i * 31 + 7);
+  return buf;
+}
+
+inline ForwardedPacket sampleForwarded(std::size_t payloadBytes) {
+  ForwardedPacket packet;
+  packet.Packet = {{0x0A140001, 443},
+                   {0x7F000001, 5000},
+                   FlowId{77},
+                   PacketFlag::First,
+                   {UpstreamId{3}, Incarnation{9}},
+                   sampleBytes(payloadBytes)};
+  packet.Service = ServiceId{4};
+  packet.Bucket = 4095;
+  packet.Kind = ForwardKind::Probe;
+  packet.HopCount = 2;
+  packet.EndsRanking = true;
+  packet.OriginBalancer = {0x7F000001, 6000};
+  packet.TableRevision = Revision{1234567};
+  for (std::uint32_t i = 1; i <= MaxChain; ++i)
+    packet.Chain.push_back({UpstreamId{i},
+                            Incarnation{i * 10},
+                            {0x7F000001, 7000},
+                            CandidateState::Suspect});
+  packet.Prober = packet.Chain[0];
+  packet.SenderLoad = 250;
+  packet.Sender = UpstreamId{2};
+  return packet;
+}
+
+inline std::vector<DataMessage> sampleDataMessages() {
+  const ForwardedPacket forwarded = sampleForwarded(100);
+  return {forwarded.Packet,
+          forwarded,
+          ChainExhausted{forwarded},
+          ProbeMissed{forwarded},
+          LoadReport{UpstreamId{5}, 999},
+          CallerAnswer{FlowId{77},
+                       AnswerKind::Refused,
+                       {UpstreamId{3}, Incarnation{9}},
+                       250,
+                       sampleBytes(40)},
+          PeerLeaseQuery{"balancer-1", Revision{8}},
+          PeerLeaseAnswer{"balancer-2", 1500, Revision{9}}};
+}
+
+inline std::vector<SessionMessage> sampleSessionMessages() {
+  const RequestId id{1, 2};
+  return {RequestSegment{id, "POST", "/jobs/17", false, 5000, 3000, 1000,
+                         0xABCD, sampleBytes(SegmentBytes)},
+          SegmentAck{id, 2000},
+          AnswerSegment{id, 200, 5000, 1000, 0x1234, sampleBytes(SegmentBytes)},
+          AnswerAck{id, 5000, true},
+          NotRun{id, RefusalReason::RecordsFull, 100},
+          OutcomeUnknown{id},
+          CancelRequest{id},
+          KeepAlive{42}};
+}
+
+inline std::vector<NodeMessage> sampleNodeMessages() {
+  TableUpdate update;
+  update.From = Revision{4};
+  update.To = Revision{9};
+  update.Services = {{ServiceId{1}, "workshop-api", {0x0A140001, 443}}};
+  update.DataCentres = {{DataCentreId{1}, "ee-north-a", true}};
+  update.Upstreams = {{UpstreamId{6},
+                       ServiceId{1},
+                       DataCentreId{1},
+                       {0x7F000001, 7000},
+                       Incarnation{5},
+                       UpstreamState::Draining}};
+  update.Balancers = {{"balancer-1", DataCentreId{1}, {0x7F000001, 6000}}};
+  update.RemovedServices = {ServiceId{2}};
+  update.RemovedDataCentres = {DataCentreId{3}};
+  update.RemovedUpstreams = {UpstreamId{8}};
+  update.RemovedBalancers = {"balancer-9"};
+  return {
+      update,
+      Subscribe{"balancer-1", "ee-north-a", {0x7F000001, 6000}, Revision{3}},
+      LeaseRequest{"balancer-1", Revision{9}},
+      LeaseGrant{3000, Revision{9}},
+      Announce{"workshop-api",
+               "ee-north-a",
+               "zone-1",
+               "machine-4",
+               {0x7F000001, 7000},
+               Incarnation{5},
+               5,
+               17,
+               true,
+               false},
+      AnnounceReply{AnnounceResult::Rejected, UpstreamId{6}, ServiceId{1},
+                    "unknown service"}};
+}
+
+inline std::vector<LogCommand> sampleCommands() {
+  return {
+      ApplyRules{"op-1", Revision{7}, "operators", "Maarja",
+                 "datacentre a # asked by Maarja\n", 1700000000000},
+      UpstreamJoined{"workshop-api",
+                     "ee-north-a",
+                     "zone-1",
+                     "machine-4",
+                     {0x7F000001, 7000},
+                     Incarnation{5},
+                     5},
+      UpstreamChanged{UpstreamId{6}, Incarnation{5}, UpstreamState::Suspect},
+      UpstreamLeft{UpstreamId{6}, Incarnation{5}},
+      BalancerJoined{"balancer-1", "ee-north-a", {0x7F000001, 6000}},
+      BalancerLeft{"balancer-1"}};
+}
+
+inline std::vector<ConsensusMessage> sampleConsensusMessages() {
+  AppendRequest append{MemberId{1}, 3, 10, 2, 9, 44, {}};
+  append.Entries = {{3, 11, EntryKind::NoOp, {}},
+                    {3, 12, EntryKind::Command, sampleBytes(64)}};
+  return {VoteRequest{MemberId{1}, 3, 10, 2, true},
+          VoteReply{MemberId{2}, 3, true, true},
+          append,
+          AppendReply{MemberId{2}, 3, 44, true, 12},
+          SnapshotPart{MemberId{1}, 3, 10, 2, 64, 128, 0x55, sampleBytes(20),
+                       sampleBytes(64)},
+          SnapshotReply{MemberId{2}, 3, 10, 128}};
+}
+
+} // namespace pistachio
