Add join messages to the consensus channel

An instance with an empty data folder asks the members named in its settings to add it as a learner. The daemon answers; the node has no part in it, since only the daemon knows the settings.

--- a/Source/Core/Wire/ConsensusMessages.cpp
+++ b/Source/Core/Wire/ConsensusMessages.cpp
@@ -70,6 +70,16 @@
   field(archive, it.Received);
 }
 
+template <typename Archive> void fields(Archive &archive, JoinRequest &it) {
+  field(archive, it.From);
+  field(archive, it.Address);
+}
+
+template <typename Archive> void fields(Archive &archive, JoinReply &it) {
+  field(archive, it.Accepted);
+  field(archive, it.Leader);
+}
+
 absl::StatusOr<ConsensusMessage>
 decodeConsensus(std::span<const std::byte> buf) {
   return decodeVariant<ConsensusMessage>(buf, FirstConsensusType, MaxBodyBytes);
--- a/Source/Core/Wire/ConsensusMessages.h
+++ b/Source/Core/Wire/ConsensusMessages.h
@@ -105,8 +105,24 @@
                          const SnapshotReply &) = default;
 };
 
-using ConsensusMessage = std::variant<VoteRequest, VoteReply, AppendRequest,
-                                      AppendReply, SnapshotPart, SnapshotReply>;
+/// Asks to be added as a learner. The process that carries the node handles it;
+/// the node ignores it.
+struct JoinRequest {
+  MemberId From;
+  Endpoint Address;
+  friend bool operator==(const JoinRequest &, const JoinRequest &) = default;
+};
+
+struct JoinReply {
+  bool Accepted = false;
+  /// Where to ask instead; port 0 if the leader is unknown.
+  Endpoint Leader;
+  friend bool operator==(const JoinReply &, const JoinReply &) = default;
+};
+
+using ConsensusMessage =
+    std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
+                 SnapshotPart, SnapshotReply, JoinRequest, JoinReply>;
 
 absl::StatusOr<ConsensusMessage>
 decodeConsensus(std::span<const std::byte> buf);
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -131,7 +131,9 @@
           AppendReply{MemberId{2}, 3, 44, true, 12},
           SnapshotPart{MemberId{1}, 3, 10, 2, 64, 128, 0x55, sampleBytes(20),
                        sampleBytes(64)},
-          SnapshotReply{MemberId{2}, 3, 10, 128}};
+          SnapshotReply{MemberId{2}, 3, 10, 128},
+          JoinRequest{MemberId{3}, {0x7F000001, 9000}},
+          JoinReply{true, {0x7F000001, 9001}}};
 }
 
 } // namespace pistachio
