--- a/Source/Core/Control/Control.h
+++ b/Source/Core/Control/Control.h
@@ -40,6 +40,9 @@
   std::string Zone;
   std::string Machine;
   std::uint32_t Slots = 0;
+  /// As the upstream's announcements have it; Record.State also contains the
+  /// drain rules.
+  UpstreamState Announced = UpstreamState::Active;
 };
 
 /// Deterministic: the same commands at the same indices give the same state on
@@ -64,12 +67,15 @@
   virtual std::optional<UpstreamInfo>
   findUpstream(const Endpoint &address) const = 0;
   virtual std::vector<BalancerRecord> balancers() const = 0;
+  virtual std::optional<ServiceRecord>
+  findService(std::string_view name) const = 0;
   virtual std::optional<DataCentreRecord>
   findDataCentre(std::string_view name) const = 0;
 
   /// The updates that bring a node from \p have to the published revision: a
   /// delta if the change history reaches back that far, otherwise a whole table
-  /// (Reset) in parts. Empty if nothing is missing.
+  /// (Reset) in parts of at most MaxRecordsInUpdate records and about 60 KB.
+  /// Empty if nothing is missing.
   virtual std::vector<TableUpdate> updatesSince(Revision have) const = 0;
 
   /// The whole state, for the log's snapshots.
@@ -84,6 +90,12 @@
   Duration RemoveAfter{15000};
   /// Balancers that have not asked for a lease for this long are removed.
   Duration BalancerRemoveAfter{60000};
+  /// A proposal that has had no effect for this long is made again; it may have
+  /// been lost with a change of leader or refused by a full disk.
+  Duration ProposeAgainAfter{2000};
+  /// How long an incarnation that has left is remembered, so that a delayed
+  /// announcement does not bring it back.
+  Duration RememberLeftFor{60000};
 };
 
 /// Runs at the leader: follows announcements and proposes joins, changes and
--- /dev/null
+++ b/Source/Core/Control/ControlState.cpp
@@ -0,0 +1,425 @@
+#include "Control/ControlData.h"
+#include "Control/StateCodec.h"
+#include "Control/TableParts.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace pistachio {
+namespace {
+
+/// Longest result text that is kept; a resent operation gets the same text as
+/// the first one.
+constexpr std::size_t MaxResultTextBytes = 64 * 1024;
+
+/// Cuts at the end of a line.
+std::string boundedText(std::string text) {
+  if (text.size() <= MaxResultTextBytes)
+    return text;
+  const std::size_t end = text.rfind('\n', MaxResultTextBytes);
+  const std::size_t n = end == std::string::npos ? MaxResultTextBytes : end + 1;
+  const auto hidden = std::count(text.begin() + n, text.end(), '\n');
+  text.resize(n);
+  return text + "and " + std::to_string(hidden) + " more lines\n";
+}
+
+std::string messageOf(const absl::Status &status) {
+  return {status.message().data(), status.message().size()};
+}
+
+class ControlStateImpl final : public ControlState {
+public:
+  void apply(std::uint64_t index, const LogCommand &command) override {
+    const Revision at{index};
+    TableChange change;
+    change.At = at;
+    const bool publishes = std::visit(
+        [&](const auto &it) { return applyOne(it, change); }, command);
+    if (!publishes)
+      return;
+    Data.Published = at;
+    Data.History.add(std::move(change));
+  }
+
+  std::optional<ApplyResult>
+  findResult(std::string_view operationId) const override {
+    const ApplyResult *it = Data.Results.find(operationId);
+    return it ? std::optional(*it) : std::nullopt;
+  }
+
+  Revision published() const override { return Data.Published; }
+  Revision rulesRevision() const override { return Data.RulesRevision; }
+  const RuleSet &rules() const override { return Data.Rules; }
+
+  std::vector<UpstreamInfo> upstreams() const override {
+    std::vector<UpstreamInfo> all;
+    all.reserve(Data.Upstreams.size());
+    for (const auto &[id, it] : Data.Upstreams)
+      all.push_back(it);
+    return all;
+  }
+
+  std::optional<UpstreamInfo> findUpstream(UpstreamId id) const override {
+    const auto it = Data.Upstreams.find(id);
+    return it == Data.Upstreams.end() ? std::nullopt
+                                      : std::optional(it->second);
+  }
+
+  std::optional<UpstreamInfo>
+  findUpstream(const Endpoint &address) const override {
+    const auto it = ByAddress.find(address);
+    return it == ByAddress.end() ? std::nullopt : findUpstream(it->second);
+  }
+
+  std::vector<BalancerRecord> balancers() const override {
+    std::vector<BalancerRecord> all;
+    for (const auto &[name, it] : Data.Balancers)
+      all.push_back(it);
+    return all;
+  }
+
+  std::optional<ServiceRecord>
+  findService(std::string_view name) const override {
+    const auto it = Data.Services.find(name);
+    return it == Data.Services.end() ? std::nullopt : std::optional(it->second);
+  }
+
+  std::optional<DataCentreRecord>
+  findDataCentre(std::string_view name) const override {
+    const auto it = Data.DataCentres.find(name);
+    return it == Data.DataCentres.end() ? std::nullopt
+                                        : std::optional(it->second);
+  }
+
+  std::vector<TableUpdate> updatesSince(Revision have) const override {
+    if (have >= Data.Published)
+      return {};
+    return Data.History.reaches(have) ? delta(have) : wholeTable();
+  }
+
+  Bytes save() const override { return saveControlData(Data); }
+
+  absl::Status load(std::span<const std::byte> buf) override {
+    absl::StatusOr<ControlData> data = loadControlData(buf);
+    if (!data.ok())
+      return data.status();
+    Data = *std::move(data);
+    ByAddress.clear();
+    for (const auto &[id, it] : Data.Upstreams)
+      ByAddress[it.Record.Address] = id;
+    rememberDrained();
+    return absl::OkStatus();
+  }
+
+private:
+  // Each applyOne() returns true if the published state changed.
+
+  bool applyOne(const ApplyRules &command, TableChange &change);
+  bool applyOne(const UpstreamJoined &command, TableChange &change);
+  bool applyOne(const UpstreamChanged &command, TableChange &change);
+  bool applyOne(const UpstreamLeft &command, TableChange &change);
+  bool applyOne(const BalancerJoined &command, TableChange &change);
+  bool applyOne(const BalancerLeft &command, TableChange &change);
+
+  ApplyResult decide(const ApplyRules &command, TableChange &change);
+  void takeRules(RuleSet rules, TableChange &change);
+  void updateServices(TableChange &change);
+  void updateDataCentres(TableChange &change);
+  void removeOrphans(TableChange &change);
+  void updateDrains(TableChange &change);
+  DataCentreId nextDataCentre();
+  void removeUpstream(UpstreamId id, TableChange &change);
+  UpstreamState effectiveState(const UpstreamInfo &upstream) const;
+
+  std::vector<TableUpdate> delta(Revision have) const;
+  std::vector<TableUpdate> wholeTable() const;
+
+  /// Ids in the drain rules; those of unknown upstreams have no effect.
+  void rememberDrained() {
+    Drained = {Data.Rules.draining().begin(), Data.Rules.draining().end()};
+  }
+
+  ControlData Data;
+  // Derived from Data.
+  std::map<Endpoint, UpstreamId> ByAddress;
+  std::set<UpstreamId> Drained;
+};
+
+bool ControlStateImpl::applyOne(const ApplyRules &command,
+                                TableChange &change) {
+  Data.Results.advance(command.ProposedAtMs);
+  if (Data.Results.find(command.OperationId))
+    return false;
+  ApplyResult result = decide(command, change);
+  const bool publishes = result.What == ApplyResult::Code::Applied;
+  result.Text = boundedText(std::move(result.Text));
+  Data.Results.add(command.OperationId, std::move(result));
+  return publishes;
+}
+
+ApplyResult ControlStateImpl::decide(const ApplyRules &command,
+                                     TableChange &change) {
+  using Code = ApplyResult::Code;
+  const Revision now = Data.RulesRevision;
+  if (command.ExpectedRevision != now)
+    return {Code::Conflict, now,
+            "the rules are at revision " + std::to_string(now.Value) +
+                ", expected " + std::to_string(command.ExpectedRevision.Value)};
+  Findings findings;
+  std::optional<RuleSet> rules =
+      RuleSet::parse(command.Rules, "rules", findings);
+  if (!rules)
+    return {Code::Invalid, now, findings.format()};
+  const std::vector<RuleChange> changes = diffRules(Data.Rules, *rules);
+  if (const absl::Status permitted =
+          checkTeamMayApply(command.Team, Data.Rules, changes);
+      !permitted.ok())
+    return {Code::NotPermitted, now, messageOf(permitted)};
+  if (rules->text() == Data.Rules.text())
+    return {Code::Unchanged, now, ""};
+  if (rules->dataCentres().size() >= std::numeric_limits<std::uint16_t>::max())
+    return {Code::Invalid, now, "too many data centres\n"};
+  takeRules(*std::move(rules), change);
+  return {Code::Applied, change.At, formatChanges(changes)};
+}
+
+void ControlStateImpl::takeRules(RuleSet rules, TableChange &change) {
+  Data.Rules = std::move(rules);
+  Data.RulesRevision = change.At;
+  rememberDrained();
+  updateServices(change);
+  updateDataCentres(change);
+  removeOrphans(change);
+  updateDrains(change);
+}
+
+void ControlStateImpl::updateServices(TableChange &change) {
+  std::map<std::string, ServiceRecord, std::less<>> next;
+  for (const ServiceRule &rule : Data.Rules.services()) {
+    const auto old = Data.Services.find(rule.Name);
+    ServiceRecord record{{}, rule.Name, rule.Address};
+    if (old != Data.Services.end())
+      record.Id = old->second.Id;
+    else
+      record.Id = Data.LastService = ServiceId{Data.LastService.Value + 1};
+    if (old == Data.Services.end() || old->second != record)
+      change.Services.push_back(record.Id);
+    next.emplace(rule.Name, std::move(record));
+  }
+  for (const auto &[name, record] : Data.Services) {
+    if (!next.contains(name))
+      change.Services.push_back(record.Id);
+  }
+  Data.Services = std::move(next);
+}
+
+void ControlStateImpl::updateDataCentres(TableChange &change) {
+  const std::set<std::string, std::less<>> out(Data.Rules.out().begin(),
+                                               Data.Rules.out().end());
+  const std::set<std::string, std::less<>> declared(
+      Data.Rules.dataCentres().begin(), Data.Rules.dataCentres().end());
+  for (auto it = Data.DataCentres.begin(); it != Data.DataCentres.end();) {
+    const bool keep = declared.contains(it->first);
+    if (!keep)
+      change.DataCentres.push_back(it->second.Id);
+    it = keep ? std::next(it) : Data.DataCentres.erase(it);
+  }
+  for (const std::string &name : Data.Rules.dataCentres()) {
+    const auto old = Data.DataCentres.find(name);
+    const bool isNew = old == Data.DataCentres.end();
+    DataCentreRecord record{isNew ? nextDataCentre() : old->second.Id, name,
+                            out.contains(name)};
+    if (!isNew && old->second == record)
+      continue;
+    change.DataCentres.push_back(record.Id);
+    Data.DataCentres[name] = std::move(record);
+  }
+}
+
+/// Ids have 16 bits, so they are used again after 65,535 declarations; those in
+/// use are passed over.
+DataCentreId ControlStateImpl::nextDataCentre() {
+  const auto isUsed = [&](DataCentreId id) {
+    return std::any_of(Data.DataCentres.begin(), Data.DataCentres.end(),
+                       [&](const auto &it) { return it.second.Id == id; });
+  };
+  DataCentreId &last = Data.LastDataCentre;
+  do {
+    last.Value = static_cast<std::uint16_t>(last.Value + 1);
+  } while (!last || isUsed(last));
+  return last;
+}
+
+/// Removes upstreams and balancers whose service or data centre is no longer in
+/// the rules.
+void ControlStateImpl::removeOrphans(TableChange &change) {
+  std::set<ServiceId> services;
+  for (const auto &[name, it] : Data.Services)
+    services.insert(it.Id);
+  std::set<DataCentreId> dataCentres;
+  for (const auto &[name, it] : Data.DataCentres)
+    dataCentres.insert(it.Id);
+  for (const UpstreamInfo &it : upstreams()) {
+    if (!services.contains(it.Record.Service) ||
+        !dataCentres.contains(it.Record.DataCentre))
+      removeUpstream(it.Record.Id, change);
+  }
+  std::erase_if(Data.Balancers, [&](const auto &it) {
+    const bool isOrphan = !dataCentres.contains(it.second.DataCentre);
+    if (isOrphan)
+      change.Balancers.push_back(it.first);
+    return isOrphan;
+  });
+}
+
+void ControlStateImpl::updateDrains(TableChange &change) {
+  for (auto &[id, it] : Data.Upstreams) {
+    const UpstreamState state = effectiveState(it);
+    if (state == it.Record.State)
+      continue;
+    it.Record.State = state;
+    change.Upstreams.push_back(id);
+  }
+}
+
+UpstreamState
+ControlStateImpl::effectiveState(const UpstreamInfo &upstream) const {
+  if (upstream.Announced != UpstreamState::Active)
+    return upstream.Announced;
+  return Drained.contains(upstream.Record.Id) ? UpstreamState::Draining
+                                              : UpstreamState::Active;
+}
+
+bool ControlStateImpl::applyOne(const UpstreamJoined &command,
+                                TableChange &change) {
+  const std::optional<ServiceRecord> service = findService(command.Service);
+  const std::optional<DataCentreRecord> dataCentre =
+      findDataCentre(command.DataCentre);
+  if (!service || !dataCentre)
+    return false;
+  if (const auto former = findUpstream(command.Address)) {
+    // Incarnations start with the start time. An earlier one, or a repeat, is a
+    // command that was proposed before the present one was known.
+    if (former->Record.Run >= command.Run)
+      return false;
+    removeUpstream(former->Record.Id, change);
+  }
+  UpstreamInfo info;
+  info.Record.Id = Data.LastUpstream = UpstreamId{Data.LastUpstream.Value + 1};
+  info.Record.Service = service->Id;
+  info.Record.DataCentre = dataCentre->Id;
+  info.Record.Address = command.Address;
+  info.Record.Run = command.Run;
+  info.Zone = command.Zone;
+  info.Machine = command.Machine;
+  info.Slots = command.Slots;
+  info.Record.State = effectiveState(info);
+  change.Upstreams.push_back(info.Record.Id);
+  ByAddress[command.Address] = info.Record.Id;
+  Data.Upstreams.emplace(info.Record.Id, std::move(info));
+  return true;
+}
+
+bool ControlStateImpl::applyOne(const UpstreamChanged &command,
+                                TableChange &change) {
+  const auto it = Data.Upstreams.find(command.Upstream);
+  if (it == Data.Upstreams.end() || it->second.Record.Run != command.Run)
+    return false;
+  it->second.Announced = command.State;
+  const UpstreamState state = effectiveState(it->second);
+  if (state == it->second.Record.State)
+    return false;
+  it->second.Record.State = state;
+  change.Upstreams.push_back(command.Upstream);
+  return true;
+}
+
+bool ControlStateImpl::applyOne(const UpstreamLeft &command,
+                                TableChange &change) {
+  const auto it = Data.Upstreams.find(command.Upstream);
+  if (it == Data.Upstreams.end() || it->second.Record.Run != command.Run)
+    return false;
+  removeUpstream(command.Upstream, change);
+  return true;
+}
+
+void ControlStateImpl::removeUpstream(UpstreamId id, TableChange &change) {
+  const auto it = Data.Upstreams.find(id);
+  ByAddress.erase(it->second.Record.Address);
+  Data.Upstreams.erase(it);
+  change.Upstreams.push_back(id);
+}
+
+bool ControlStateImpl::applyOne(const BalancerJoined &command,
+                                TableChange &change) {
+  const std::optional<DataCentreRecord> dataCentre =
+      findDataCentre(command.DataCentre);
+  if (!dataCentre)
+    return false;
+  const BalancerRecord record{command.Name, dataCentre->Id, command.Address};
+  BalancerRecord &stored = Data.Balancers[command.Name];
+  if (stored == record)
+    return false;
+  stored = record;
+  change.Balancers.push_back(command.Name);
+  return true;
+}
+
+bool ControlStateImpl::applyOne(const BalancerLeft &command,
+                                TableChange &change) {
+  if (Data.Balancers.erase(command.Name) == 0)
+    return false;
+  change.Balancers.push_back(command.Name);
+  return true;
+}
+
+std::vector<TableUpdate> ControlStateImpl::delta(Revision have) const {
+  const TableChange change = Data.History.since(have);
+  TablePartWriter writer(have, Data.Published, false);
+  std::map<ServiceId, const ServiceRecord *> services;
+  for (const auto &[name, it] : Data.Services)
+    services.emplace(it.Id, &it);
+  for (const ServiceId id : change.Services) {
+    const auto it = services.find(id);
+    it == services.end() ? writer.remove(id) : writer.add(*it->second);
+  }
+  std::map<DataCentreId, const DataCentreRecord *> dataCentres;
+  for (const auto &[name, it] : Data.DataCentres)
+    dataCentres.emplace(it.Id, &it);
+  for (const DataCentreId id : change.DataCentres) {
+    const auto it = dataCentres.find(id);
+    it == dataCentres.end() ? writer.remove(id) : writer.add(*it->second);
+  }
+  for (const UpstreamId id : change.Upstreams) {
+    const auto it = Data.Upstreams.find(id);
+    it == Data.Upstreams.end() ? writer.remove(id)
+                               : writer.add(it->second.Record);
+  }
+  for (const std::string &name : change.Balancers) {
+    const auto it = Data.Balancers.find(name);
+    it == Data.Balancers.end() ? writer.remove(name) : writer.add(it->second);
+  }
+  return writer.finish();
+}
+
+std::vector<TableUpdate> ControlStateImpl::wholeTable() const {
+  TablePartWriter writer(Revision{}, Data.Published, true);
+  for (const auto &[name, it] : Data.Services)
+    writer.add(it);
+  for (const auto &[name, it] : Data.DataCentres)
+    writer.add(it);
+  for (const auto &[id, it] : Data.Upstreams)
+    writer.add(it.Record);
+  for (const auto &[name, it] : Data.Balancers)
+    writer.add(it);
+  return writer.finish();
+}
+
+} // namespace
+
+std::unique_ptr<ControlState> makeControlState() {
+  return std::make_unique<ControlStateImpl>();
+}
+
+} // namespace pistachio
