Add calls between control members to the wire library

Purpose: a member that does not lead passes applies, announcements and reads on to the leader, and asks it about its leader lease.

Ruled out: more alternatives of ConsensusMessage; the consensus node would have to know messages that it never handles.

--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -103,7 +103,8 @@
 };
 
 /// Control to node. ValidMs counts from the moment at which the node sent the
-/// request.
+/// request; 0 means that the lease is not renewed. Each request gets one
+/// answer, in order.
 struct LeaseGrant {
   std::uint32_t ValidMs = 0;
   Revision Committed;
--- a/Source/Core/Wire/Wire.h
+++ b/Source/Core/Wire/Wire.h
@@ -15,4 +15,5 @@
 #include "Wire/Envelope.h"
 #include "Wire/LogCommands.h"
 #include "Wire/NodeMessages.h"
+#include "Wire/PeerMessages.h"
 #include "Wire/SessionMessages.h"
--- a/Source/UnitTests/Wire/MalformedInputTest.cpp
+++ b/Source/UnitTests/Wire/MalformedInputTest.cpp
@@ -39,7 +39,9 @@
           {"Command", encodeAll(sampleCommands(), encodeCommand),
            [](Input in) { return decodeCommand(in).ok(); }},
           {"Consensus", encodeAll(sampleConsensusMessages(), encodeConsensus),
-           [](Input in) { return decodeConsensus(in).ok(); }}};
+           [](Input in) { return decodeConsensus(in).ok(); }},
+          {"Peer", encodeAll(samplePeerMessages(), encodePeer),
+           [](Input in) { return decodePeer(in).ok(); }}};
 }
 
 void storeLittle32(Bytes &buf, std::size_t offset, std::uint32_t value) {
@@ -108,7 +110,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Channels, MalformedInputTest,
-                         testing::Range<std::size_t>(0, 5));
+                         testing::Range<std::size_t>(0, 6));
 
 // Guards against a reader that takes a message of another channel for one of
 // its own.
--- a/Source/UnitTests/Wire/RoundTripTest.cpp
+++ b/Source/UnitTests/Wire/RoundTripTest.cpp
@@ -24,6 +24,7 @@
   expectRoundTrip(sampleNodeMessages(), encodeNode, decodeNode);
   expectRoundTrip(sampleCommands(), encodeCommand, decodeCommand);
   expectRoundTrip(sampleConsensusMessages(), encodeConsensus, decodeConsensus);
+  expectRoundTrip(samplePeerMessages(), encodePeer, decodePeer);
 }
 
 // Guards against a full packet that grows past the MTU on its way between
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -136,4 +136,23 @@
           JoinReply{true, {0x7F000001, 9001}}};
 }
 
+inline std::vector<PeerMessage> samplePeerMessages() {
+  const PeerCallId call{17};
+  return {ForwardedApply{call, sampleBytes(200)},
+          ForwardedApplyReply{call, CallOutcome::Answered, 2, Revision{9},
+                              "rules are at revision 9", true},
+          ForwardedNodeMessage{call, sampleBytes(80)},
+          ForwardedNodeReply{call, CallOutcome::DiskFull, sampleBytes(30)},
+          LeaderQuery{call},
+          LeaderReply{call, true, 44},
+          RulesQuery{call},
+          RulesReply{call, CallOutcome::Unknown, Revision{9},
+                     "datacentre a # asked by Maarja\n"},
+          StatusQuery{call},
+          StatusReply{call,
+                      CallOutcome::Answered,
+                      {{"balancer-1", Revision{9}, 250}},
+                      {{UpstreamId{6}, 17}}}};
+}
+
 } // namespace pistachio
