--- /dev/null
+++ b/Source/ControlDaemon/ReplicatedControl.cpp
@@ -0,0 +1,268 @@
+#include "ControlDaemon/ReplicatedControl.h"
+
+#include <utility>
+
+namespace pistachio {
+namespace {
+
+/// Commands that come from announcements have nobody who waits for them; the
+/// tracker proposes again what had no effect.
+constexpr Duration UnattendedDeadline{2000};
+
+} // namespace
+
+ReplicatedControl::ReplicatedControl(ReplicatedControlOptions options,
+                                     ConsensusOptions consensusOptions,
+                                     AnnouncementOptions announcementOptions,
+                                     LogStorage &storage, Hooks hooks,
+                                     TimePoint now)
+    : Options(options), Storage(storage), Notify(std::move(hooks)),
+      State(makeControlState()),
+      Tracker(makeAnnouncementTracker(announcementOptions)),
+      Node(makeConsensusNode(std::move(consensusOptions), storage, now)) {}
+
+ReplicatedControl::~ReplicatedControl() = default;
+
+void ReplicatedControl::tick(TimePoint now) {
+  handle(Node->tick(now), now);
+  expireWaiters(now);
+  if (isLeader() && now - LastTrackerTick >= Options.TrackerInterval) {
+    LastTrackerTick = now;
+    std::vector<LogCommand> proposals;
+    Tracker->tick(*State, now, proposals);
+    submitAll(std::move(proposals), now);
+  }
+  runCompletions();
+}
+
+void ReplicatedControl::receive(const ConsensusMessage &message,
+                                TimePoint now) {
+  handle(Node->receive(message, now), now);
+  runCompletions();
+}
+
+void ReplicatedControl::submit(LogCommand command, TimePoint deadline,
+                               Done done) {
+  Queue.push_back({std::move(command), deadline, std::move(done)});
+  if (Queue.size() == 1 && Notify.OnQueued)
+    Notify.OnQueued();
+}
+
+void ReplicatedControl::submitAll(std::vector<LogCommand> proposals,
+                                  TimePoint now) {
+  for (LogCommand &it : proposals)
+    submit(std::move(it), now + UnattendedDeadline, nullptr);
+}
+
+std::vector<Bytes> ReplicatedControl::takeBatch(std::vector<Queued> &batch) {
+  std::vector<Bytes> commands;
+  while (!Queue.empty() && commands.size() < MaxEntriesInAppend) {
+    Queued item = std::move(Queue.front());
+    Queue.pop_front();
+    Bytes buf;
+    if (absl::Status encoded = encodeCommand(item.Command, buf);
+        !encoded.ok()) {
+      complete(std::move(item.Report), std::move(encoded));
+      continue;
+    }
+    commands.push_back(std::move(buf));
+    batch.push_back(std::move(item));
+  }
+  return commands;
+}
+
+void ReplicatedControl::flush(TimePoint now) {
+  while (!Queue.empty()) {
+    std::vector<Queued> batch;
+    const std::vector<Bytes> commands = takeBatch(batch);
+    if (commands.empty())
+      break;
+    ConsensusOutput output;
+    const absl::StatusOr<std::uint64_t> first =
+        Node->propose(commands, now, output);
+    for (std::size_t i = 0; i < batch.size(); ++i) {
+      if (!first.ok())
+        complete(std::move(batch[i].Report), first.status());
+      else if (batch[i].Report)
+        Waiters.emplace(*first + i, Waiter{Node->term(), batch[i].Deadline,
+                                           std::move(batch[i].Report)});
+    }
+    handle(std::move(output), now);
+  }
+  runCompletions();
+}
+
+void ReplicatedControl::read(TimePoint now, TimePoint deadline, Done done) {
+  ConsensusOutput output;
+  const absl::StatusOr<std::uint64_t> id = Node->startRead(now, output);
+  if (!id.ok())
+    complete(std::move(done), id.status());
+  else
+    Reads.push_back({*id, deadline, std::move(done)});
+  handle(std::move(output), now);
+  runCompletions();
+}
+
+absl::Status ReplicatedControl::change(
+    const std::function<absl::Status(ConsensusNode &, ConsensusOutput &)>
+        &step) {
+  ConsensusOutput output;
+  absl::Status status = step(*Node, output);
+  handle(std::move(output), LastTrackerTick);
+  return status;
+}
+
+AnnounceReply ReplicatedControl::onAnnounce(const Announce &announce,
+                                            TimePoint now) {
+  if (!isLeader())
+    return {};
+  std::vector<LogCommand> proposals;
+  AnnounceReply reply = Tracker->onAnnounce(announce, *State, now, proposals);
+  submitAll(std::move(proposals), now);
+  return reply;
+}
+
+void ReplicatedControl::onSubscribe(const Subscribe &subscribe, TimePoint now) {
+  if (!isLeader())
+    return;
+  std::vector<LogCommand> proposals;
+  Tracker->onSubscribe(subscribe, *State, now, proposals);
+  submitAll(std::move(proposals), now);
+}
+
+void ReplicatedControl::onLeaseRequest(const LeaseRequest &request,
+                                       TimePoint now) {
+  if (isLeader())
+    Tracker->onLeaseRequest(request, now);
+}
+
+bool ReplicatedControl::holdsLeaderLease(TimePoint now) const {
+  // A new leader does not know the commit index of the former one until an entry
+  // of its own term is committed.
+  return isLeader() && Node->hasLeaderLease(now) &&
+         Storage.term(Node->commitIndex()) == Node->term();
+}
+
+absl::Status ReplicatedControl::health() const {
+  return StateHealth.ok() ? Node->health() : StateHealth;
+}
+
+void ReplicatedControl::handle(ConsensusOutput output, TimePoint now) {
+  if (output.Restored)
+    restore(*output.Restored);
+  for (const LogEntry &it : output.Committed)
+    applyEntry(it);
+  // Messages go out first: replication should not wait for the rest.
+  for (const OutgoingMessage &it : output.Messages)
+    Notify.Send(it);
+  checkLeadership(now);
+  finishReads(now);
+  compactIfDue();
+  if (State->published() == LastPublished)
+    return;
+  LastPublished = State->published();
+  if (Notify.OnPublished)
+    Notify.OnPublished();
+}
+
+void ReplicatedControl::restore(const Snapshot &snapshot) {
+  std::unique_ptr<ControlState> fresh = makeControlState();
+  if (!snapshot.Content.empty())
+    StateHealth.Update(fresh->load(snapshot.Content));
+  if (!StateHealth.ok())
+    return;
+  State = std::move(fresh);
+  Applied = Compacted = snapshot.LastIndex;
+  // Which of the commands that are covered by the snapshot were accepted is not
+  // known here.
+  const auto end = Waiters.upper_bound(Applied);
+  for (auto it = Waiters.begin(); it != end; ++it)
+    complete(std::move(it->second.Report),
+             absl::DeadlineExceededError("the outcome is not known"));
+  Waiters.erase(Waiters.begin(), end);
+}
+
+void ReplicatedControl::applyEntry(const LogEntry &entry) {
+  if (!StateHealth.ok())
+    return;
+  if (entry.Kind == EntryKind::Command) {
+    const absl::StatusOr<LogCommand> command = decodeCommand(entry.Payload);
+    if (!command.ok()) {
+      // Passing over it would let this member differ from the others.
+      StateHealth =
+          absl::DataLossError("log entry " + std::to_string(entry.Index) +
+                              " cannot be decoded");
+      return;
+    }
+    State->apply(entry.Index, *command);
+  }
+  Applied = entry.Index;
+  finishWaiters(entry.Index, entry.Term);
+}
+
+void ReplicatedControl::finishWaiters(std::uint64_t index, std::uint64_t term) {
+  const auto [begin, end] = Waiters.equal_range(index);
+  for (auto it = begin; it != end; ++it)
+    complete(std::move(it->second.Report),
+             it->second.Term == term
+                 ? absl::OkStatus()
+                 : absl::UnavailableError("another leader took over; the "
+                                          "command was not accepted"));
+  Waiters.erase(begin, end);
+}
+
+void ReplicatedControl::finishReads(TimePoint now) {
+  std::erase_if(Reads, [&](PendingRead &it) {
+    if (!isLeader())
+      complete(std::move(it.Report),
+               absl::UnavailableError("this member does not lead"));
+    else if (Node->isReadConfirmed(it.Id))
+      complete(std::move(it.Report), absl::OkStatus());
+    else if (now >= it.Deadline)
+      complete(std::move(it.Report),
+               absl::UnavailableError("no majority answers"));
+    else
+      return false;
+    return true;
+  });
+}
+
+void ReplicatedControl::expireWaiters(TimePoint now) {
+  std::erase_if(Waiters, [&](auto &it) {
+    if (now < it.second.Deadline)
+      return false;
+    complete(std::move(it.second.Report),
+             absl::DeadlineExceededError("the outcome is not known"));
+    return true;
+  });
+}
+
+void ReplicatedControl::checkLeadership(TimePoint now) {
+  const bool leads = isLeader();
+  if (leads && !WasLeader)
+    Tracker->onLeadershipGained(*State, now);
+  WasLeader = leads;
+}
+
+void ReplicatedControl::compactIfDue() {
+  if (Applied - Compacted < Options.CompactAfterEntries || !StateHealth.ok())
+    return;
+  // A failure is tried again after as many entries; the log itself stays.
+  Compacted = Applied;
+  (void)Node->compact(State->save());
+}
+
+void ReplicatedControl::complete(Done done, absl::Status status) {
+  if (done)
+    Completions.emplace_back(std::move(done), std::move(status));
+}
+
+void ReplicatedControl::runCompletions() {
+  while (!Completions.empty()) {
+    auto ready = std::exchange(Completions, {});
+    for (auto &[done, status] : ready)
+      done(std::move(status));
+  }
+}
+
+} // namespace pistachio
