--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,12 @@
   friend bool operator==(const HardState &, const HardState &) = default;
 };
 
+/// At most MaxMembers, in the form that a Membership entry carries.
+Bytes encodeMembers(std::span<const Member> members);
+/// DataLoss if \p buf is not a member list.
+absl::StatusOr<std::vector<Member>>
+decodeMembers(std::span<const std::byte> buf);
+
 struct Snapshot {
   std::uint64_t LastIndex = 0;
   std::uint64_t LastTerm = 0;
@@ -96,6 +103,8 @@
 enum class Role : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
 
 struct OutgoingMessage {
+  /// The port is 0 if the log of this member does not list the receiver yet;
+  /// then the message is an answer and goes back the way the request came.
   Member To;
   ConsensusMessage Message;
 };
--- /dev/null
+++ b/Source/Core/Consensus/Election.cpp
@@ -0,0 +1,155 @@
+#include "Consensus/Node.h"
+
+namespace pistachio {
+
+void Node::resetElectionDeadline(TimePoint now) {
+  const auto span = static_cast<std::uint64_t>(
+      (Options.ElectionTimeoutMax - Options.ElectionTimeoutMin).count());
+  const std::uint64_t draw = mix64(Options.Seed * 0x9E3779B97F4A7C15ULL +
+                                   Self.Value + ++TimeoutsDrawn);
+  ElectionDeadline = now + Options.ElectionTimeoutMin +
+                     Duration(static_cast<std::int64_t>(draw % (span + 1)));
+}
+
+/// False if the new term could not be stored.
+bool Node::becomeFollower(std::uint64_t term, MemberId leader, TimePoint now) {
+  if (term > State.Term && !saveState({term, MemberId{}}))
+    return false;
+  CurrentRole = Role::Follower;
+  LeaderId = leader;
+  Votes.clear();
+  Peers.clear();
+  Reads.clear();
+  RoundSentAt.clear();
+  Sending.reset();
+  resetElectionDeadline(now);
+  return true;
+}
+
+// A pre-vote asks whether an election could be won without raising the term, so
+// that a member that was cut off does not depose a working leader with its
+// higher term when it returns.
+void Node::startPreVote(TimePoint now, ConsensusOutput &output) {
+  resetElectionDeadline(now);
+  LeaderId = {};
+  if (!isVoter(Self))
+    return;
+  CurrentRole = Role::PreCandidate;
+  Votes = {Self};
+  if (Votes.size() >= majority())
+    return startElection(now, output);
+  requestVotes(/*preVote=*/true, output);
+}
+
+void Node::startElection(TimePoint now, ConsensusOutput &output) {
+  if (!saveState({State.Term + 1, Self}))
+    return;
+  CurrentRole = Role::Candidate;
+  LeaderId = {};
+  Votes = {Self};
+  resetElectionDeadline(now);
+  if (Votes.size() >= majority())
+    return becomeLeader(now, output);
+  requestVotes(/*preVote=*/false, output);
+}
+
+void Node::requestVotes(bool preVote, ConsensusOutput &output) {
+  const std::uint64_t last = Storage.lastIndex();
+  const VoteRequest request{Self, State.Term + (preVote ? 1 : 0), last,
+                            Storage.term(last), preVote};
+  for (const Member &it : config()) {
+    if (it.Voter && it.Id != Self)
+      send(it, request, output);
+  }
+}
+
+void Node::becomeLeader(TimePoint now, ConsensusOutput &output) {
+  CurrentRole = Role::Leader;
+  LeaderId = Self;
+  LeaderSince = now;
+  Votes.clear();
+  Peers.clear();
+  followConfiguration();
+  // Entries of earlier terms may only be committed together with one of this
+  // term.
+  TermStartIndex = Storage.lastIndex() + 1;
+  const LogEntry first{State.Term, TermStartIndex, EntryKind::NoOp, {}};
+  if (!appendAndSync(std::span(&first, 1)).ok()) {
+    becomeFollower(State.Term, MemberId{}, now);
+    return;
+  }
+  broadcast(/*heartbeat=*/true, now, output);
+  advanceCommit();
+}
+
+// The time of the start counts as contact: the restarted member may have
+// vouched for a leader just before.
+bool Node::heardFromLeader(TimePoint now) const {
+  return CurrentRole == Role::Leader ||
+         now < LeaderHeardAt + Options.ElectionTimeoutMin;
+}
+
+bool Node::grants(const VoteRequest &request, TimePoint now) const {
+  // A member that its own log does not list has lost its log or never had it.
+  if (!find(Self) || heardFromLeader(now))
+    return false;
+  if (request.PreVote ? request.Term <= State.Term : request.Term < State.Term)
+    return false;
+  if (!request.PreVote && request.Term == State.Term && State.VotedFor &&
+      State.VotedFor != request.From)
+    return false;
+  const std::uint64_t last = Storage.lastIndex();
+  const std::uint64_t lastTerm = Storage.term(last);
+  return request.LastTerm > lastTerm ||
+         (request.LastTerm == lastTerm && request.LastIndex >= last);
+}
+
+void Node::handle(const VoteRequest &request, TimePoint now,
+                  ConsensusOutput &output) {
+  // The term of a request that a working leader makes unwelcome is ignored too.
+  if (!request.PreVote && request.Term > State.Term && !heardFromLeader(now) &&
+      !becomeFollower(request.Term, MemberId{}, now))
+    return;
+  const bool granted = grants(request, now);
+  if (granted && !request.PreVote) {
+    if (State.VotedFor != request.From &&
+        !saveState({State.Term, request.From}))
+      return;
+    resetElectionDeadline(now);
+  }
+  // A granted pre-vote repeats the term that was asked for.
+  const std::uint64_t term =
+      granted && request.PreVote ? request.Term : State.Term;
+  send(memberOrUnknown(request.From),
+       VoteReply{Self, term, request.PreVote, granted}, output);
+}
+
+void Node::handle(const VoteReply &reply, TimePoint now,
+                  ConsensusOutput &output) {
+  if (!reply.Granted && reply.Term > State.Term) {
+    becomeFollower(reply.Term, MemberId{}, now);
+    return;
+  }
+  const Role expected = reply.PreVote ? Role::PreCandidate : Role::Candidate;
+  const std::uint64_t term = State.Term + (reply.PreVote ? 1 : 0);
+  if (CurrentRole != expected || reply.Term != term || !reply.Granted ||
+      !isVoter(reply.From))
+    return;
+  Votes.insert(reply.From);
+  if (Votes.size() < majority())
+    return;
+  if (reply.PreVote)
+    startElection(now, output);
+  else
+    becomeLeader(now, output);
+}
+
+void Node::checkQuorum(TimePoint now) {
+  const auto contact = quorumContact(now);
+  const TimePoint last =
+      contact ? std::max(*contact, LeaderSince) : LeaderSince;
+  if (now >= last + Options.ElectionTimeoutMax)
+    becomeFollower(State.Term, MemberId{}, now);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/MemberCodec.cpp
@@ -0,0 +1,42 @@
+#include "Consensus/Consensus.h"
+#include "Wire/Codec.h"
+
+namespace pistachio {
+namespace {
+
+/// Id (8), address (4), port (2), voter (1); little endian.
+constexpr std::size_t MemberBytes = 15;
+
+} // namespace
+
+Bytes encodeMembers(std::span<const Member> members) {
+  Bytes out(members.size() * MemberBytes);
+  std::byte *at = out.data();
+  for (const Member &it : members) {
+    storeLittle(at, it.Id.Value, 8);
+    storeLittle(at + 8, it.Address.Address, 4);
+    storeLittle(at + 12, it.Address.Port, 2);
+    storeLittle(at + 14, it.Voter ? 1 : 0, 1);
+    at += MemberBytes;
+  }
+  return out;
+}
+
+absl::StatusOr<std::vector<Member>>
+decodeMembers(std::span<const std::byte> buf) {
+  if (buf.size() % MemberBytes != 0 || buf.size() / MemberBytes > MaxMembers)
+    return absl::DataLossError("member list has an impossible length");
+  std::vector<Member> out;
+  for (; !buf.empty(); buf = buf.subspan(MemberBytes)) {
+    const std::uint64_t voter = loadLittle(buf.data() + 14, 1);
+    if (voter > 1)
+      return absl::DataLossError("member list has an unknown kind of member");
+    out.push_back({MemberId{loadLittle(buf.data(), 8)},
+                   {static_cast<std::uint32_t>(loadLittle(buf.data() + 8, 4)),
+                    static_cast<std::uint16_t>(loadLittle(buf.data() + 12, 2))},
+                   voter == 1});
+  }
+  return out;
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/Membership.cpp
@@ -0,0 +1,96 @@
+#include "Consensus/Node.h"
+
+#include <algorithm>
+
+namespace pistachio {
+
+// Two changes that overlap, or one that a new leader makes before an entry of
+// its term is committed, could lead to majorities that have no common member.
+absl::Status Node::requireChangePossible() const {
+  if (absl::Status status = requireLeader(); !status.ok())
+    return status;
+  if (Configurations.back().Index > CommitIndex)
+    return absl::FailedPreconditionError("a membership change is in progress");
+  if (CommitIndex < TermStartIndex)
+    return absl::FailedPreconditionError(
+        "the leader has not committed an entry of its term yet");
+  return absl::OkStatus();
+}
+
+absl::Status Node::addLearner(const Member &member, TimePoint now,
+                              ConsensusOutput &output) {
+  if (absl::Status status = requireChangePossible(); !status.ok())
+    return status;
+  if (!member.Id)
+    return absl::InvalidArgumentError("member has no identity");
+  if (find(member.Id))
+    return absl::AlreadyExistsError("member is known already");
+  std::vector<Member> members = config();
+  if (members.size() >= MaxMembers)
+    return absl::FailedPreconditionError("group has the most members allowed");
+  members.push_back({member.Id, member.Address, /*Voter=*/false});
+  return changeMembers(std::move(members), now, output);
+}
+
+absl::Status Node::promote(MemberId id, TimePoint now,
+                           ConsensusOutput &output) {
+  if (absl::Status status = requireChangePossible(); !status.ok())
+    return status;
+  std::vector<Member> members = config();
+  const auto it = std::ranges::find(members, id, &Member::Id);
+  if (it == members.end())
+    return absl::NotFoundError("member is unknown");
+  if (it->Voter)
+    return absl::AlreadyExistsError("member is a voter already");
+  const Progress &peer = Peers.at(id);
+  const bool recent =
+      peer.AckedSentAt && now < *peer.AckedSentAt + Options.ElectionTimeoutMin;
+  if (!recent || peer.Match < CommitIndex)
+    return absl::FailedPreconditionError("learner has not caught up");
+  it->Voter = true;
+  return changeMembers(std::move(members), now, output);
+}
+
+absl::Status Node::remove(MemberId id, TimePoint now, ConsensusOutput &output) {
+  if (absl::Status status = requireChangePossible(); !status.ok())
+    return status;
+  std::vector<Member> members = config();
+  const auto it = std::ranges::find(members, id, &Member::Id);
+  if (it == members.end())
+    return absl::NotFoundError("member is unknown");
+  members.erase(it);
+  if (std::ranges::none_of(members, &Member::Voter))
+    return absl::FailedPreconditionError("the last voter cannot be removed");
+  return changeMembers(std::move(members), now, output);
+}
+
+absl::Status Node::changeMembers(std::vector<Member> members, TimePoint now,
+                                 ConsensusOutput &output) {
+  const LogEntry entry{State.Term, Storage.lastIndex() + 1,
+                       EntryKind::Membership, encodeMembers(members)};
+  if (absl::Status status = appendAndSync(std::span(&entry, 1)); !status.ok())
+    return status;
+  // A member that is removed gets the entry once, so that it stops asking for
+  // votes; new members get it from here on.
+  broadcast(/*heartbeat=*/false, now, output);
+  followConfiguration();
+  advanceCommit();
+  emitCommitted(output);
+  return absl::OkStatus();
+}
+
+void Node::followConfiguration() {
+  std::erase_if(Peers, [&](const auto &it) { return !find(it.first); });
+  for (const Member &it : config()) {
+    if (it.Id == Self)
+      continue;
+    Progress &peer = Peers[it.Id];
+    if (!peer.Peer.Id)
+      peer.Next = Storage.lastIndex() + 1;
+    if (it.Voter && (!peer.Peer.Id || !peer.Peer.Voter))
+      peer.VoterSinceRound = Round;
+    peer.Peer = it;
+  }
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/Node.cpp
@@ -0,0 +1,236 @@
+#include "Consensus/Node.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace pistachio {
+namespace {
+
+constexpr std::uint64_t BootstrapTerm = 1;
+constexpr std::size_t LoadBatchEntries = 1024;
+constexpr std::size_t NoByteLimit = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
+Node::Node(ConsensusOptions options, LogStorage &storage, TimePoint now)
+    : Options(std::move(options)), Storage(storage), Self(storage.identity()),
+      State(storage.hardState()), LeaderHeardAt(now) {
+  if (Storage.lastIndex() == 0)
+    bootstrap();
+  ToRestore = Storage.snapshot();
+  if (ToRestore)
+    CommitIndex = AppliedIndex = ToRestore->LastIndex;
+  loadConfigurations();
+  resetElectionDeadline(now);
+  // A group of one has nobody to wait for.
+  if (isVoter(Self) && majority() == 1)
+    ElectionDeadline = now;
+}
+
+// Every initial member writes the same first entry, so it is committed by
+// construction. A wiped folder has a new identity, is not in the list and
+// starts empty.
+void Node::bootstrap() {
+  const auto isSelf = [&](const Member &it) { return it.Id == Self; };
+  if (std::ranges::none_of(Options.InitialMembers, isSelf))
+    return;
+  const LogEntry first{BootstrapTerm, 1, EntryKind::Membership,
+                       encodeMembers(Options.InitialMembers)};
+  if (!check(Storage.append(std::span(&first, 1))))
+    return;
+  saveState({std::max(State.Term, BootstrapTerm), State.VotedFor});
+}
+
+void Node::loadConfigurations() {
+  if (ToRestore)
+    Configurations.push_back({ToRestore->LastIndex, ToRestore->Members});
+  for (std::uint64_t i = Storage.firstIndex(); i <= Storage.lastIndex();) {
+    const auto batch = Storage.entries(i, LoadBatchEntries, NoByteLimit);
+    noteConfigurations(batch);
+    i += batch.size();
+  }
+}
+
+/// Takes the member out of service if \p status is a failure.
+bool Node::check(const absl::Status &status) {
+  if (!status.ok() && Health.ok())
+    Health = status;
+  return status.ok();
+}
+
+bool Node::saveState(HardState state) {
+  if (!check(Storage.saveHardState(state)) || !check(Storage.sync()))
+    return false;
+  State = state;
+  return true;
+}
+
+// A full disk refuses the append and leaves the log as it was, so the member
+// stays in service. Any other failure leaves the state of the disk unknown.
+absl::Status Node::appendAndSync(std::span<const LogEntry> entries) {
+  absl::Status status = Storage.append(entries);
+  if (absl::IsResourceExhausted(status))
+    return status;
+  if (!check(status) || !check(Storage.sync()))
+    return Health;
+  noteConfigurations(entries);
+  return status;
+}
+
+void Node::noteConfigurations(std::span<const LogEntry> entries) {
+  for (const LogEntry &it : entries) {
+    if (it.Kind != EntryKind::Membership)
+      continue;
+    auto members = decodeMembers(it.Payload);
+    if (check(members.status()))
+      Configurations.push_back({it.Index, *std::move(members)});
+  }
+}
+
+void Node::truncate(std::uint64_t index) {
+  if (!check(Storage.truncateFrom(index)))
+    return;
+  while (!Configurations.empty() && Configurations.back().Index >= index)
+    Configurations.pop_back();
+}
+
+ConsensusOutput Node::tick(TimePoint now) {
+  ConsensusOutput output;
+  if (!Health.ok())
+    return output;
+  output.Restored = std::exchange(ToRestore, std::nullopt);
+  if (CurrentRole == Role::Leader)
+    checkQuorum(now);
+  if (CurrentRole == Role::Leader && now >= HeartbeatDue)
+    broadcast(/*heartbeat=*/true, now, output);
+  if (CurrentRole != Role::Leader && now >= ElectionDeadline)
+    startPreVote(now, output);
+  emitCommitted(output);
+  return output;
+}
+
+ConsensusOutput Node::receive(const ConsensusMessage &message, TimePoint now) {
+  ConsensusOutput output;
+  if (!Health.ok())
+    return output;
+  // What a restart restores comes before what the message changes.
+  output.Restored = std::exchange(ToRestore, std::nullopt);
+  std::visit([&](const auto &it) { handle(it, now, output); }, message);
+  // A failed member answers nothing: a reply would vouch for a write that did
+  // not happen.
+  if (!Health.ok())
+    return {};
+  emitCommitted(output);
+  return output;
+}
+
+absl::Status Node::requireLeader() const {
+  if (!Health.ok())
+    return absl::UnavailableError("member is out of service: " +
+                                  Health.ToString());
+  if (CurrentRole != Role::Leader)
+    return absl::UnavailableError("member is not the leader");
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::uint64_t> Node::propose(std::span<const Bytes> commands,
+                                            TimePoint now,
+                                            ConsensusOutput &output) {
+  if (absl::Status status = requireLeader(); !status.ok())
+    return status;
+  if (commands.empty())
+    return absl::InvalidArgumentError("no command");
+  const std::uint64_t first = Storage.lastIndex() + 1;
+  std::vector<LogEntry> batch;
+  batch.reserve(commands.size());
+  for (const Bytes &it : commands) {
+    if (it.size() > MaxEntryBytes)
+      return absl::InvalidArgumentError("command exceeds the entry size");
+    batch.push_back({State.Term, first + batch.size(), EntryKind::Command, it});
+  }
+  if (absl::Status status = appendAndSync(batch); !status.ok())
+    return status;
+  broadcast(/*heartbeat=*/false, now, output);
+  advanceCommit();
+  emitCommitted(output);
+  return first;
+}
+
+absl::Status Node::compact(const Bytes &content) {
+  if (!Health.ok())
+    return Health;
+  if (AppliedIndex < Storage.firstIndex())
+    return absl::OkStatus();
+  Snapshot snapshot{AppliedIndex, Storage.term(AppliedIndex), {}, content};
+  while (Configurations.size() > 1 && Configurations[1].Index <= AppliedIndex)
+    Configurations.erase(Configurations.begin());
+  if (!Configurations.empty() && Configurations[0].Index <= AppliedIndex)
+    snapshot.Members = Configurations[0].Members;
+  absl::Status status = Storage.saveSnapshot(snapshot);
+  // The snapshot is a new file, so a full disk leaves the log in place.
+  if (absl::IsResourceExhausted(status))
+    return status;
+  if (check(status))
+    check(Storage.sync());
+  return Health;
+}
+
+void Node::commitTo(std::uint64_t index) {
+  CommitIndex = std::max(CommitIndex, std::min(index, Storage.lastIndex()));
+}
+
+void Node::emitCommitted(ConsensusOutput &output) {
+  while (Health.ok() && AppliedIndex < CommitIndex) {
+    const auto n = static_cast<std::size_t>(CommitIndex - AppliedIndex);
+    auto batch = Storage.entries(AppliedIndex + 1, n, NoByteLimit);
+    if (batch.empty()) {
+      check(absl::InternalError("a committed entry is missing from the log"));
+      return;
+    }
+    AppliedIndex += batch.size();
+    std::ranges::move(batch, std::back_inserter(output.Committed));
+  }
+  // A leader that was removed leads until its removal is committed.
+  if (CurrentRole == Role::Leader && !find(Self) &&
+      Configurations.back().Index <= CommitIndex) {
+    CurrentRole = Role::Follower;
+    LeaderId = {};
+  }
+}
+
+const std::vector<Member> &Node::config() const {
+  static const std::vector<Member> None;
+  return Configurations.empty() ? None : Configurations.back().Members;
+}
+
+std::optional<Member> Node::find(MemberId id) const {
+  const auto it = std::ranges::find(config(), id, &Member::Id);
+  return it == config().end() ? std::nullopt : std::optional(*it);
+}
+
+Member Node::memberOrUnknown(MemberId id) const {
+  return find(id).value_or(Member{id, {}, true});
+}
+
+bool Node::isVoter(MemberId id) const {
+  const auto it = find(id);
+  return it && it->Voter;
+}
+
+std::size_t Node::majority() const {
+  const auto n = std::ranges::count_if(config(), &Member::Voter);
+  return static_cast<std::size_t>(n) / 2 + 1;
+}
+
+void Node::send(const Member &to, ConsensusMessage message,
+                ConsensusOutput &output) const {
+  output.Messages.push_back({to, std::move(message)});
+}
+
+std::unique_ptr<ConsensusNode> makeConsensusNode(ConsensusOptions options,
+                                                 LogStorage &storage,
+                                                 TimePoint now) {
+  return std::make_unique<Node>(std::move(options), storage, now);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/Node.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "Consensus/Consensus.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace pistachio {
+
+/// What the leader knows about another member.
+struct Progress {
+  Member Peer;
+  std::uint64_t Next = 1;
+  std::uint64_t Match = 0;
+  /// Latest round that the member answered and the time at which it was sent.
+  std::uint64_t AckedRound = 0;
+  std::optional<TimePoint> AckedSentAt;
+  /// Match at the last heartbeat; unchanged means that what is in flight was
+  /// lost.
+  std::uint64_t MatchAtHeartbeat = 0;
+  /// Next byte of the snapshot under transfer; none while entries are sent.
+  std::optional<std::uint64_t> SnapshotOffset;
+  std::uint64_t SnapshotOffsetAtHeartbeat = 0;
+  bool SnapshotPartDue = false;
+  /// Until the first success, one request is in flight and carries no entries.
+  bool Probing = true;
+  /// A voter without a log has lost its disk and must not be counted.
+  bool LostLog = false;
+  /// Answers to this round or an earlier one may be from the time as a learner.
+  std::uint64_t VoterSinceRound = 0;
+};
+
+/// A member list and the index of its entry.
+struct Configuration {
+  std::uint64_t Index = 0;
+  std::vector<Member> Members;
+};
+
+/// A snapshot that arrives in parts.
+struct IncomingSnapshot {
+  std::uint64_t LastIndex = 0;
+  std::uint64_t LastTerm = 0;
+  std::uint64_t TotalBytes = 0;
+  std::uint32_t Checksum = 0;
+  Bytes Content;
+};
+
+class Node final : public ConsensusNode {
+public:
+  Node(ConsensusOptions options, LogStorage &storage, TimePoint now);
+
+  ConsensusOutput tick(TimePoint now) override;
+  ConsensusOutput receive(const ConsensusMessage &message,
+                          TimePoint now) override;
+  absl::StatusOr<std::uint64_t> propose(std::span<const Bytes> commands,
+                                        TimePoint now,
+                                        ConsensusOutput &output) override;
+  absl::Status addLearner(const Member &member, TimePoint now,
+                          ConsensusOutput &output) override;
+  absl::Status promote(MemberId id, TimePoint now,
+                       ConsensusOutput &output) override;
+  absl::Status remove(MemberId id, TimePoint now,
+                      ConsensusOutput &output) override;
+  absl::StatusOr<std::uint64_t> startRead(TimePoint now,
+                                          ConsensusOutput &output) override;
+  bool isReadConfirmed(std::uint64_t read) const override;
+  bool hasLeaderLease(TimePoint now) const override;
+  absl::Status compact(const Bytes &content) override;
+
+  Role role() const override { return CurrentRole; }
+  std::uint64_t term() const override { return State.Term; }
+  std::uint64_t commitIndex() const override { return CommitIndex; }
+  std::optional<Member> leader() const override { return find(LeaderId); }
+  std::vector<Member> members() const override { return config(); }
+  absl::Status health() const override { return Health; }
+
+private:
+  // Node.cpp
+  void loadConfigurations();
+  void bootstrap();
+  bool check(const absl::Status &status);
+  bool saveState(HardState state);
+  absl::Status appendAndSync(std::span<const LogEntry> entries);
+  void noteConfigurations(std::span<const LogEntry> entries);
+  void truncate(std::uint64_t index);
+  absl::Status requireLeader() const;
+  void commitTo(std::uint64_t index);
+  void emitCommitted(ConsensusOutput &output);
+  const std::vector<Member> &config() const;
+  std::optional<Member> find(MemberId id) const;
+  /// Without address if the own log does not list the member.
+  Member memberOrUnknown(MemberId id) const;
+  bool isVoter(MemberId id) const;
+  std::size_t majority() const;
+  void send(const Member &to, ConsensusMessage message,
+            ConsensusOutput &output) const;
+
+  // Election.cpp
+  void resetElectionDeadline(TimePoint now);
+  bool becomeFollower(std::uint64_t term, MemberId leader, TimePoint now);
+  void startPreVote(TimePoint now, ConsensusOutput &output);
+  void startElection(TimePoint now, ConsensusOutput &output);
+  void becomeLeader(TimePoint now, ConsensusOutput &output);
+  void requestVotes(bool preVote, ConsensusOutput &output);
+  bool heardFromLeader(TimePoint now) const;
+  bool grants(const VoteRequest &request, TimePoint now) const;
+  void handle(const VoteRequest &request, TimePoint now,
+              ConsensusOutput &output);
+  void handle(const VoteReply &reply, TimePoint now, ConsensusOutput &output);
+  void checkQuorum(TimePoint now);
+
+  // Replication.cpp
+  void broadcast(bool heartbeat, TimePoint now, ConsensusOutput &output);
+  void beginRound(TimePoint now);
+  void sendAppend(Progress &peer, bool heartbeat, ConsensusOutput &output);
+  void sendEntries(Progress &peer, std::size_t maxEntries,
+                   ConsensusOutput &output);
+  void resendLost(Progress &peer);
+  void handle(const AppendRequest &request, TimePoint now,
+              ConsensusOutput &output);
+  void handle(const AppendReply &reply, TimePoint now, ConsensusOutput &output);
+  AppendReply accept(const AppendRequest &request);
+  std::uint64_t conflictHint(std::uint64_t index) const;
+  bool storeNew(const AppendRequest &request);
+  void acknowledge(Progress &peer, std::uint64_t round) const;
+  void follow(Progress &peer, const AppendReply &reply);
+  void advanceCommit();
+
+  // SnapshotTransfer.cpp
+  void sendSnapshot(Progress &peer, ConsensusOutput &output);
+  void handle(const SnapshotPart &part, TimePoint now, ConsensusOutput &output);
+  void handle(const SnapshotReply &reply, TimePoint now,
+              ConsensusOutput &output);
+  std::optional<std::uint64_t> collect(const SnapshotPart &part,
+                                       ConsensusOutput &output);
+  bool install(const SnapshotPart &part, ConsensusOutput &output);
+
+  // Membership.cpp
+  absl::Status requireChangePossible() const;
+  absl::Status changeMembers(std::vector<Member> members, TimePoint now,
+                             ConsensusOutput &output);
+  void followConfiguration();
+
+  // Reads.cpp
+  std::uint64_t confirmedRound() const;
+  std::optional<TimePoint> quorumContact(TimePoint now) const;
+
+  // Answered by the process that carries the node.
+  void handle(const JoinRequest &, TimePoint, ConsensusOutput &) {}
+  void handle(const JoinReply &, TimePoint, ConsensusOutput &) {}
+
+  const ConsensusOptions Options;
+  LogStorage &Storage;
+  const MemberId Self;
+  absl::Status Health;
+
+  HardState State;
+  Role CurrentRole = Role::Follower;
+  MemberId LeaderId;
+  TimePoint LeaderHeardAt;
+  TimePoint ElectionDeadline;
+  std::uint64_t TimeoutsDrawn = 0;
+  std::set<MemberId> Votes;
+
+  /// Oldest first; the last one is in force.
+  std::vector<Configuration> Configurations;
+  std::uint64_t CommitIndex = 0;
+  /// Last entry that was handed out.
+  std::uint64_t AppliedIndex = 0;
+  std::optional<Snapshot> ToRestore;
+  std::optional<IncomingSnapshot> Incoming;
+
+  // Leader only.
+  std::map<MemberId, Progress> Peers;
+  TimePoint LeaderSince;
+  TimePoint HeartbeatDue;
+  std::uint64_t TermStartIndex = 0;
+  std::uint64_t Round = 0;
+  std::map<std::uint64_t, TimePoint> RoundSentAt;
+  /// Round that a read waits for -> index that it must see.
+  std::map<std::uint64_t, std::uint64_t> Reads;
+  std::optional<Snapshot> Sending;
+};
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/Replication.cpp
@@ -0,0 +1,220 @@
+#include "Consensus/Node.h"
+
+#include <algorithm>
+
+namespace pistachio {
+namespace {
+
+/// Rounds whose send time is kept; older answers confirm nothing.
+constexpr std::size_t MaxRoundsKept = 4096;
+
+} // namespace
+
+void Node::beginRound(TimePoint now) {
+  RoundSentAt[++Round] = now;
+  if (RoundSentAt.size() > MaxRoundsKept)
+    RoundSentAt.erase(RoundSentAt.begin());
+}
+
+void Node::broadcast(bool heartbeat, TimePoint now, ConsensusOutput &output) {
+  beginRound(now);
+  if (heartbeat && now >= HeartbeatDue) {
+    HeartbeatDue = now + Options.HeartbeatInterval;
+    for (auto &[id, peer] : Peers)
+      resendLost(peer);
+  }
+  for (auto &[id, peer] : Peers)
+    sendAppend(peer, heartbeat, output);
+}
+
+// Without progress during a whole heartbeat interval, what was sent is taken
+// for lost. Repeating what was only slow does no harm.
+void Node::resendLost(Progress &peer) {
+  if (peer.Match == peer.MatchAtHeartbeat && !peer.Probing)
+    peer.Next = peer.Match + 1;
+  peer.MatchAtHeartbeat = peer.Match;
+  if (!peer.SnapshotOffset)
+    return;
+  if (*peer.SnapshotOffset <= peer.SnapshotOffsetAtHeartbeat)
+    peer.SnapshotPartDue = true;
+  peer.SnapshotOffsetAtHeartbeat = *peer.SnapshotOffset;
+}
+
+void Node::sendAppend(Progress &peer, bool heartbeat, ConsensusOutput &output) {
+  if (!peer.LostLog && peer.Next < Storage.firstIndex()) {
+    sendSnapshot(peer, output);
+    // Heartbeats keep the member from starting an election meanwhile.
+    if (heartbeat)
+      sendEntries(peer, 0, output);
+    return;
+  }
+  peer.SnapshotOffset.reset();
+  if (peer.Probing || peer.LostLog) {
+    if (heartbeat)
+      sendEntries(peer, 0, output);
+    return;
+  }
+  const std::uint64_t inFlight = peer.Next - peer.Match - 1;
+  const std::size_t room =
+      Options.MaxEntriesInFlight -
+      std::min<std::uint64_t>(inFlight, Options.MaxEntriesInFlight);
+  if (heartbeat || (room > 0 && peer.Next <= Storage.lastIndex()))
+    sendEntries(peer, room, output);
+}
+
+void Node::sendEntries(Progress &peer, std::size_t maxEntries,
+                       ConsensusOutput &output) {
+  // Without entries to continue from, the end of the log still proves the term
+  // of the leader.
+  const bool known = peer.Next >= Storage.firstIndex();
+  const std::uint64_t previous =
+      known ? peer.Next - 1 : Storage.firstIndex() - 1;
+  AppendRequest request{
+      Self,        State.Term, previous, Storage.term(previous),
+      CommitIndex, Round,      {}};
+  if (maxEntries > 0)
+    request.Entries = Storage.entries(
+        peer.Next, std::min(maxEntries, MaxEntriesInAppend), MaxEntryBytes);
+  peer.Next += request.Entries.size();
+  send(peer.Peer, std::move(request), output);
+}
+
+void Node::handle(const AppendRequest &request, TimePoint now,
+                  ConsensusOutput &output) {
+  AppendReply reply{Self, State.Term, request.Round, false, 0};
+  if (request.Term < State.Term)
+    return send(memberOrUnknown(request.From), reply, output);
+  // Two leaders of one term cannot exist; such a message is forged or damaged.
+  if (request.Term == State.Term && CurrentRole == Role::Leader)
+    return;
+  if (!becomeFollower(request.Term, request.From, now))
+    return;
+  LeaderHeardAt = now;
+  reply = accept(request);
+  send(memberOrUnknown(request.From), reply, output);
+}
+
+AppendReply Node::accept(const AppendRequest &request) {
+  AppendReply reply{Self, State.Term, request.Round, false, 0};
+  const std::uint64_t previous = request.PreviousIndex;
+  const bool covered = previous < Storage.firstIndex() - 1;
+  if (!covered && (previous > Storage.lastIndex() ||
+                   Storage.term(previous) != request.PreviousTerm)) {
+    reply.MatchIndex = conflictHint(previous);
+    return reply;
+  }
+  std::uint64_t next = previous;
+  for (const LogEntry &it : request.Entries) {
+    if (it.Index != ++next || it.Term > request.Term) {
+      reply.MatchIndex = conflictHint(previous);
+      return reply;
+    }
+  }
+  if (!storeNew(request)) {
+    // A full disk: the leader tries again from here.
+    reply.MatchIndex = Storage.lastIndex() + 1;
+    return reply;
+  }
+  const std::uint64_t match = previous + request.Entries.size();
+  commitTo(std::min(request.CommitIndex, match));
+  reply.Success = true;
+  reply.MatchIndex = match;
+  return reply;
+}
+
+/// Where the leader should try next. 1 is sent only from an empty log.
+std::uint64_t Node::conflictHint(std::uint64_t index) const {
+  const std::uint64_t last = Storage.lastIndex();
+  if (index > last)
+    return last + 1;
+  // Skips the whole conflicting term in one step.
+  const std::uint64_t term = Storage.term(index);
+  const std::uint64_t lowest = std::max<std::uint64_t>(CommitIndex + 1, 2);
+  while (index > lowest && Storage.term(index - 1) == term)
+    --index;
+  return std::max(index, lowest);
+}
+
+bool Node::storeNew(const AppendRequest &request) {
+  std::span<const LogEntry> entries = request.Entries;
+  while (!entries.empty() &&
+         (entries[0].Index < Storage.firstIndex() ||
+          Storage.term(entries[0].Index) == entries[0].Term))
+    entries = entries.subspan(1);
+  if (entries.empty())
+    return true;
+  if (entries[0].Index <= CommitIndex)
+    return check(absl::DataLossError(
+        "the leader's log differs from a committed entry at index " +
+        std::to_string(entries[0].Index)));
+  if (entries[0].Index <= Storage.lastIndex())
+    truncate(entries[0].Index);
+  return Health.ok() && appendAndSync(entries).ok();
+}
+
+void Node::acknowledge(Progress &peer, std::uint64_t round) const {
+  const auto sent = RoundSentAt.find(round);
+  if (sent == RoundSentAt.end() || round <= peer.AckedRound)
+    return;
+  peer.AckedRound = round;
+  peer.AckedSentAt = sent->second;
+}
+
+void Node::handle(const AppendReply &reply, TimePoint now,
+                  ConsensusOutput &output) {
+  if (reply.Term > State.Term) {
+    becomeFollower(reply.Term, MemberId{}, now);
+    return;
+  }
+  const auto it = Peers.find(reply.From);
+  if (CurrentRole != Role::Leader || reply.Term < State.Term ||
+      it == Peers.end() || reply.MatchIndex > Storage.lastIndex() + 1)
+    return;
+  Progress &peer = it->second;
+  // An empty log under the identity of a voter means that the disk, and with it
+  // the votes that were given, is lost. The log of a voter is never empty
+  // otherwise.
+  if (!reply.Success && reply.MatchIndex <= 1 && peer.Peer.Voter &&
+      reply.Round > peer.VoterSinceRound)
+    peer.LostLog = true;
+  if (peer.LostLog)
+    return;
+  const std::uint64_t next = peer.Next;
+  follow(peer, reply);
+  acknowledge(peer, reply.Round);
+  advanceCommit();
+  // A repeated reply gets no further probe, so that probes do not multiply.
+  sendAppend(peer, /*heartbeat=*/peer.Probing && peer.Next < next, output);
+}
+
+void Node::follow(Progress &peer, const AppendReply &reply) {
+  if (reply.Success) {
+    peer.Probing = false;
+    peer.Match = std::max(peer.Match, reply.MatchIndex);
+    peer.Next = std::max(peer.Next, peer.Match + 1);
+    return;
+  }
+  const std::uint64_t hint = std::max<std::uint64_t>(reply.MatchIndex, 1);
+  // A member that lost the end of its log is fed again from there.
+  if (reply.Round > peer.AckedRound && hint <= peer.Match)
+    peer.Match = hint - 1;
+  peer.Next = peer.Probing ? std::min(peer.Next, hint) : peer.Match + 1;
+}
+
+// Only an entry of the own term proves that no later leader lacks it.
+void Node::advanceCommit() {
+  if (CurrentRole != Role::Leader)
+    return;
+  std::vector<std::uint64_t> matches;
+  for (const Member &it : config()) {
+    if (it.Voter)
+      matches.push_back(it.Id == Self ? Storage.lastIndex()
+                                      : Peers.at(it.Id).Match);
+  }
+  std::ranges::sort(matches, std::greater<>());
+  const std::uint64_t index = matches[majority() - 1];
+  if (index > CommitIndex && Storage.term(index) == State.Term)
+    commitTo(index);
+}
+
+} // namespace pistachio
