Add rules library with self-registering rule kinds

Purpose: parse and check the operators' rules file, compare two versions of it, edit single lines and decide which team may change which line.

Ruled out: a static library of kinds (the linker leaves out objects that nothing refers to) and INTERFACE sources (compiled again by each user).

Changed: Rules.h gains OperatorsTeam and states that findings are bounded to 1000, that columns count characters, and that addRule/removeRule return the findings of the resulting text.

--- a/Source/Core/Common/Common.h
+++ b/Source/Core/Common/Common.h
@@ -7,4 +7,5 @@
 #include "Common/Finding.h"
 #include "Common/Hash.h"
 #include "Common/Ids.h"
+#include "Common/Text.h"
 #include "Common/Time.h"
--- /dev/null
+++ b/Source/Core/Rules/Kinds/DrainKind.cpp
@@ -0,0 +1,28 @@
+#include "Rules/RuleKind.h"
+
+#include <limits>
+
+namespace pistachio {
+namespace {
+
+class DrainKind final : public RuleKind {
+public:
+  std::string_view name() const override { return "drain"; }
+  std::string_view usage() const override { return "drain upstream ID"; }
+
+  void read(LineReader &line, RuleSetBuilder &builder) const override {
+    line.keyword("upstream");
+    const std::uint32_t id = line.number(
+        "upstream id", 1, std::numeric_limits<std::uint32_t>::max());
+    if (line.ok())
+      builder.declare("drain of upstream", std::to_string(id), line.place());
+    line.end();
+    if (line.ok())
+      builder.draining().push_back({id});
+  }
+};
+
+const RegisterRuleKind<DrainKind> Registration;
+
+} // namespace
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Rules/RuleKind.h
@@ -0,0 +1,172 @@
+#pragma once
+
+/// Internal header of the Rules library: what a kind of rule is written
+/// against.
+
+#include "Rules/Rules.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pistachio {
+
+/// A part of the text; the offset counts bytes from the start of its line.
+struct Word {
+  std::string_view Text;
+  std::size_t Offset = 0;
+};
+
+/// Where a name or a number is stated.
+struct Place {
+  std::uint32_t Line = 0;
+  std::uint32_t Column = 0;
+};
+
+/// Splits at blanks and tabs.
+std::vector<Word> splitWords(std::string_view text);
+
+/// A decimal number without leading zeros, or nothing.
+std::optional<std::uint64_t> parseNumber(std::string_view text);
+
+/// Collects the rules of one file and its findings.
+class RuleSetBuilder {
+public:
+  RuleSetBuilder(std::string_view fileName, Findings &findings)
+      : FileName(fileName), Out(findings) {}
+
+  /// Beyond this many findings the rest of a file is not reported: the
+  /// administration API returns them in one bounded answer.
+  static constexpr std::size_t MaxFindings = 1000;
+
+  void beginLine(std::string_view line, std::uint32_t number);
+  Place placeOf(std::size_t offset) const;
+  void report(Place place, std::string message);
+
+  /// Adds a name to a space such as "service"; a second declaration of the same
+  /// name is a finding.
+  void declare(std::string_view space, std::string_view name, Place place);
+  /// The name must be declared somewhere in the file.
+  void refer(std::string_view space, std::string_view name, Place place);
+
+  RuleSet &rules() { return Rules; }
+  void addLine(RuleLine line) { Rules.Lines.push_back(std::move(line)); }
+  std::vector<ServiceRule> &services() { return Rules.Services; }
+  std::vector<LimitRule> &limits() { return Rules.Limits; }
+  std::vector<ObjectiveRule> &objectives() { return Rules.Objectives; }
+  std::vector<TeamRule> &teams() { return Rules.Teams; }
+  std::vector<std::string> &dataCentres() { return Rules.DataCentres; }
+  std::vector<std::string> &out() { return Rules.Out; }
+  std::vector<UpstreamId> &draining() { return Rules.Draining; }
+
+  /// The place of the last declaration in a space.
+  Place lastOf(std::string_view space) const;
+
+  /// Checks references, reports all findings in the order of their places, and
+  /// returns the rules if there were none.
+  std::optional<RuleSet> finish(std::string_view text);
+
+private:
+  struct Reference {
+    std::string Space;
+    std::string Name;
+    Place Where;
+  };
+
+  std::string FileName;
+  Findings &Out;
+  RuleSet Rules;
+  std::string_view Line;
+  std::uint32_t Number = 0;
+  std::map<std::string, std::map<std::string, Place, std::less<>>, std::less<>>
+      Declared;
+  std::map<std::string, Place, std::less<>> Last;
+  std::vector<Reference> References;
+  std::vector<Finding> Collected;
+};
+
+/// Reads the words of one rule in turn. The first fault of a line is reported,
+/// and the reads that follow it return nothing.
+class LineReader {
+public:
+  LineReader(std::span<const Word> words, std::string_view usage,
+             RuleSetBuilder &builder)
+      : Words(words), Usage(usage), Builder(builder) {}
+
+  /// The given word.
+  void keyword(std::string_view word);
+  /// Lower-case letters, digits and hyphens, at most 63, from a letter on.
+  std::string name(std::string_view what);
+  /// Names separated by commas.
+  std::vector<Word> names(std::string_view what);
+  std::uint32_t number(std::string_view what, std::uint32_t min,
+                       std::uint32_t max);
+  Endpoint endpoint();
+  /// Between 0 and 100, without these.
+  double percentage(std::string_view what);
+  /// "30d".
+  std::uint32_t days(std::string_view what, std::uint32_t max);
+  /// Nothing may follow.
+  void end();
+
+  /// Marks the word read last as faulty.
+  void fail(std::string message);
+  bool ok() const { return Good; }
+  /// Place of the word read last.
+  Place place() const;
+
+private:
+  std::string_view next(std::string_view what);
+  void checkName(const Word &word, std::string_view what);
+
+  std::span<const Word> Words;
+  std::string_view Usage;
+  RuleSetBuilder &Builder;
+  std::size_t Next = 1;
+  bool Good = true;
+};
+
+/// One kind of rule, named after the first word of its lines.
+class RuleKind {
+public:
+  virtual ~RuleKind() = default;
+  virtual std::string_view name() const = 0;
+  /// The syntax, for findings.
+  virtual std::string_view usage() const = 0;
+  virtual void read(LineReader &line, RuleSetBuilder &builder) const = 0;
+  /// Called once after all lines of a file have been read.
+  virtual void check(RuleSetBuilder &) const {}
+  /// True if the second word is a service whose team may change the line.
+  virtual bool belongsToService() const { return false; }
+};
+
+/// All kinds that are linked into the program, by name.
+class RuleKindRegistry {
+public:
+  static RuleKindRegistry &instance();
+  void add(std::unique_ptr<RuleKind> kind);
+  const RuleKind *find(std::string_view name) const;
+  const std::map<std::string, std::unique_ptr<RuleKind>, std::less<>> &
+  kinds() const {
+    return Kinds;
+  }
+
+private:
+  std::map<std::string, std::unique_ptr<RuleKind>, std::less<>> Kinds;
+};
+
+/// A namespace-scope object of this type adds a kind to the registry.
+template <typename Kind> struct RegisterRuleKind {
+  RegisterRuleKind() {
+    RuleKindRegistry::instance().add(std::make_unique<Kind>());
+  }
+};
+
+} // namespace pistachio
--- a/Source/Core/Rules/Rules.h
+++ b/Source/Core/Rules/Rules.h
@@ -15,6 +15,9 @@
 
 namespace pistachio {
 
+/// The team that may change all lines; it is not declared by a rule.
+inline constexpr std::string_view OperatorsTeam = "operators";
+
 /// One accepted line.
 struct RuleLine {
   /// From 1; 0 for a line that was not read from a file.
@@ -59,7 +62,9 @@
 /// same set.
 class RuleSet {
 public:
-  /// Adds one finding for each fault and returns nothing if there is any.
+  /// Adds one finding for each fault (at most 1000, in the order of their
+  /// places) and returns nothing if there is any. Columns count characters. The
+  /// empty text is valid and has no rules.
   static std::optional<RuleSet>
   parse(std::string_view text, std::string_view fileName, Findings &findings);
 
@@ -104,7 +109,8 @@
 std::string formatChanges(std::span<const RuleChange> changes);
 
 /// The rules text with the line "out NAME" (or "drain upstream ID") added or
-/// removed. InvalidArgument if the line is there already, or is not there.
+/// removed. InvalidArgument if the line is there already, or is not there, or
+/// if the resulting text has findings, which are then the message.
 absl::StatusOr<std::string> addRule(const RuleSet &rules, std::string_view rule,
                                     std::string_view askedBy,
                                     std::string_view reason);
