--- /dev/null
+++ b/Source/Core/Runtime/BackEndClient.cpp
@@ -0,0 +1,171 @@
+#include "Runtime/AsioEndpoint.h"
+#include "Runtime/Runtime.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+#include <utility>
+
+namespace pistachio {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+
+/// One request on a connection of its own. A reused connection that the back
+/// end closes at the same moment would leave open whether the request was
+/// received.
+class Call : public std::enable_shared_from_this<Call> {
+public:
+  using Done = std::function<void(absl::StatusOr<HttpAnswer>)>;
+
+  Call(boost::asio::io_context &context, const HttpRequest &request,
+       const Endpoint &backEnd, Done done)
+      : Stream(context), BackEnd(backEnd), Finish(std::move(done)) {
+    Request.version(HttpVersion);
+    Request.method_string(request.Method);
+    Request.target(request.Path);
+    Request.set(http::field::host, toString(backEnd));
+    Request.set(http::field::connection, "close");
+    if (!request.IdempotencyKey.empty())
+      Request.set("Idempotency-Key", request.IdempotencyKey);
+    if (request.Deadline > Duration::zero()) {
+      Request.set("X-Request-Deadline-Ms",
+                  std::to_string(request.Deadline.count()));
+      Stream.expires_after(request.Deadline);
+    }
+    Request.body().assign(reinterpret_cast<const char *>(request.Body.data()),
+                          request.Body.size());
+    Request.prepare_payload();
+    Parser.body_limit(MaxAnswerBytes);
+  }
+
+  void start() {
+    Stream.async_connect(
+        toAsio<tcp>(BackEnd), [self = shared_from_this()](error_code ec) {
+          if (ec)
+            return self->complete(absl::UnavailableError(absl::StrCat(
+                "cannot connect to the back end: ", ec.message())));
+          self->write();
+        });
+  }
+
+  void cancel() {
+    Finish = nullptr;
+    Stream.close();
+  }
+
+private:
+  void write() {
+    http::async_write(
+        Stream, Request,
+        [self = shared_from_this()](error_code ec, std::size_t /*n*/) {
+          if (ec)
+            return self->complete(absl::UnknownError(absl::StrCat(
+                "sending to the back end failed: ", ec.message())));
+          self->read();
+        });
+  }
+
+  void read() {
+    http::async_read(
+        Stream, Buffer, Parser,
+        [self = shared_from_this()](error_code ec, std::size_t /*n*/) {
+          if (ec)
+            return self->complete(absl::UnknownError(
+                absl::StrCat("no answer of the back end: ", ec.message())));
+          self->complete(self->takeAnswer());
+        });
+  }
+
+  HttpAnswer takeAnswer() {
+    const auto &message = Parser.get();
+    HttpAnswer answer;
+    answer.Status = static_cast<int>(message.result_int());
+    const auto *begin =
+        reinterpret_cast<const std::byte *>(message.body().data());
+    answer.Body.assign(begin, begin + message.body().size());
+    std::uint32_t seconds = 0;
+    const auto field = message[http::field::retry_after];
+    if (absl::SimpleAtoi(absl::string_view(field.data(), field.size()),
+                         &seconds))
+      answer.RetryAfter = std::chrono::seconds(seconds);
+    return answer;
+  }
+
+  void complete(absl::StatusOr<HttpAnswer> result) {
+    Stream.close();
+    if (Finish)
+      std::exchange(Finish, nullptr)(std::move(result));
+  }
+
+  beast::tcp_stream Stream;
+  Endpoint BackEnd;
+  http::request<http::string_body> Request;
+  http::response_parser<http::string_body> Parser;
+  beast::flat_buffer Buffer;
+  Done Finish;
+};
+
+class BeastBackEndClient : public BackEndClient {
+public:
+  BeastBackEndClient(boost::asio::io_context &context, const Endpoint &backEnd)
+      : Context(context), BackEnd(backEnd), Calls(std::make_shared<CallMap>()) {
+  }
+
+  ~BeastBackEndClient() override {
+    for (const auto &it : *Calls)
+      it.second->cancel();
+  }
+  BeastBackEndClient(const BeastBackEndClient &) = delete;
+  BeastBackEndClient &operator=(const BeastBackEndClient &) = delete;
+
+  HttpCallId call(HttpRequest request, Handler done) override {
+    const HttpCallId id{++LastId};
+    auto call =
+        std::make_shared<Call>(Context, request, BackEnd,
+                               [calls = Calls, id, done = std::move(done)](
+                                   absl::StatusOr<HttpAnswer> answer) {
+                                 calls->erase(id);
+                                 done(std::move(answer));
+                               });
+    Calls->emplace(id, call);
+    call->start();
+    return id;
+  }
+
+  void cancel(HttpCallId call) override {
+    const auto it = Calls->find(call);
+    if (it == Calls->end())
+      return;
+    it->second->cancel();
+    Calls->erase(it);
+  }
+
+private:
+  using CallMap = std::map<HttpCallId, std::shared_ptr<Call>>;
+
+  boost::asio::io_context &Context;
+  Endpoint BackEnd;
+  std::shared_ptr<CallMap> Calls;
+  std::uint64_t LastId = 0;
+};
+
+} // namespace
+
+std::unique_ptr<BackEndClient>
+makeBackEndClient(boost::asio::io_context &context, const Endpoint &backEnd) {
+  return std::make_unique<BeastBackEndClient>(context, backEnd);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -0,0 +1,147 @@
+#include "Runtime/AsioEndpoint.h"
+#include "Runtime/Runtime.h"
+#include "Runtime/TcpConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace pistachio {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr Duration FirstBackOff{50};
+constexpr Duration MaxBackOff{1000};
+constexpr Duration ConnectTimeout{1000};
+
+class AsioTcpClient : public TcpClient {
+public:
+  AsioTcpClient(boost::asio::io_context &context, std::vector<Endpoint> servers,
+                TcpHandlers handlers)
+      : Shared(std::make_shared<State>(context, std::move(servers),
+                                       std::move(handlers))) {
+    Shared->connect();
+  }
+  ~AsioTcpClient() override { AsioTcpClient::stop(); }
+  AsioTcpClient(const AsioTcpClient &) = delete;
+  AsioTcpClient &operator=(const AsioTcpClient &) = delete;
+
+  bool isOpen() const override { return Shared->Connection != nullptr; }
+
+  void send(std::span<const std::byte> frame) override {
+    if (Shared->Connection)
+      Shared->Connection->send(frame);
+  }
+
+  void reconnect() override {
+    if (Shared->Connection)
+      Shared->Connection->close();
+  }
+
+  void stop() override {
+    if (Shared->Stopped)
+      return;
+    Shared->Stopped = true;
+    Shared->Timer.cancel();
+    if (Shared->Pending)
+      Shared->Pending->cancel();
+    if (Shared->Connection)
+      Shared->Connection->close();
+  }
+
+private:
+  struct State : std::enable_shared_from_this<State> {
+    State(boost::asio::io_context &context, std::vector<Endpoint> servers,
+          TcpHandlers handlers)
+        : Context(context), Timer(context), Servers(std::move(servers)),
+          Handlers(std::move(handlers)), Random(std::random_device{}()) {}
+
+    void connect() {
+      if (Stopped || Servers.empty())
+        return;
+      const Endpoint &server = Servers[Next++ % Servers.size()];
+      auto socket = std::make_shared<tcp::socket>(Context);
+      Pending = socket;
+      Timer.expires_after(ConnectTimeout);
+      Timer.async_wait([socket](error_code ec) {
+        // A server that does not answer at all must not hold up the next one.
+        if (!ec)
+          socket->close(ec);
+      });
+      socket->async_connect(toAsio<tcp>(server),
+                            [self = shared_from_this(), socket](error_code ec) {
+                              self->Timer.cancel();
+                              self->Pending.reset();
+                              if (self->Stopped)
+                                return;
+                              if (ec || !socket->is_open())
+                                return self->connectLater();
+                              self->open(std::move(*socket));
+                            });
+    }
+
+    void open(tcp::socket socket) {
+      BackOff = FirstBackOff;
+      const ConnectionId id{++LastId};
+      auto onFrame = [self = shared_from_this(),
+                      id](std::span<const std::byte> frame) {
+        if (!self->Stopped)
+          self->Handlers.OnFrame(id, frame);
+      };
+      auto onClose = [self = shared_from_this(), id] {
+        self->Connection.reset();
+        if (self->Stopped)
+          return;
+        self->Handlers.OnClose(id);
+        self->connectLater();
+      };
+      Connection = std::make_shared<TcpConnection>(
+          std::move(socket), std::move(onFrame), std::move(onClose));
+      Connection->start();
+      Handlers.OnOpen(id);
+    }
+
+    void connectLater() {
+      if (Stopped)
+        return;
+      // Jitter keeps thousands of nodes from returning to a control instance at
+      // the same moment.
+      std::uniform_int_distribution<Duration::rep> jitter(BackOff.count() / 2,
+                                                          BackOff.count());
+      Timer.expires_after(Duration(jitter(Random)));
+      BackOff = std::min(BackOff * 2, MaxBackOff);
+      Timer.async_wait([self = shared_from_this()](error_code ec) {
+        if (!ec)
+          self->connect();
+      });
+    }
+
+    boost::asio::io_context &Context;
+    boost::asio::steady_timer Timer;
+    std::vector<Endpoint> Servers;
+    TcpHandlers Handlers;
+    std::minstd_rand Random;
+    std::shared_ptr<tcp::socket> Pending;
+    std::shared_ptr<TcpConnection> Connection;
+    std::size_t Next = 0;
+    std::uint64_t LastId = 0;
+    Duration BackOff = FirstBackOff;
+    bool Stopped = false;
+  };
+
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace
+
+std::unique_ptr<TcpClient> connectTcp(boost::asio::io_context &context,
+                                      std::vector<Endpoint> servers,
+                                      TcpHandlers handlers) {
+  return std::make_unique<AsioTcpClient>(context, std::move(servers),
+                                         std::move(handlers));
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Runtime/TcpServer.cpp
@@ -0,0 +1,135 @@
+#include "Runtime/AsioEndpoint.h"
+#include "Runtime/Runtime.h"
+#include "Runtime/TcpConnection.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <unordered_map>
+
+namespace pistachio {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Pause after a failed accept, for example while no descriptor is free.
+constexpr Duration AcceptRetry{100};
+
+class AsioTcpServer : public TcpServer {
+public:
+  AsioTcpServer(tcp::acceptor acceptor, TcpHandlers handlers)
+      : Shared(
+            std::make_shared<State>(std::move(acceptor), std::move(handlers))) {
+    Shared->accept();
+  }
+  ~AsioTcpServer() override { AsioTcpServer::stop(); }
+  AsioTcpServer(const AsioTcpServer &) = delete;
+  AsioTcpServer &operator=(const AsioTcpServer &) = delete;
+
+  Endpoint endpoint() const override { return Shared->Local; }
+
+  void send(ConnectionId connection,
+            std::span<const std::byte> frame) override {
+    const auto it = Shared->Connections.find(connection);
+    if (it != Shared->Connections.end())
+      it->second->send(frame);
+  }
+
+  void close(ConnectionId connection) override {
+    const auto it = Shared->Connections.find(connection);
+    if (it != Shared->Connections.end())
+      it->second->close();
+  }
+
+  void stop() override {
+    if (Shared->Stopped)
+      return;
+    Shared->Stopped = true;
+    error_code ec;
+    Shared->Acceptor.close(ec);
+    Shared->Retry.cancel();
+    for (const auto &it : Shared->Connections)
+      it.second->close();
+  }
+
+private:
+  struct State : std::enable_shared_from_this<State> {
+    State(tcp::acceptor acceptor, TcpHandlers handlers)
+        : Acceptor(std::move(acceptor)), Retry(Acceptor.get_executor()),
+          Handlers(std::move(handlers)),
+          Local(fromAsio(Acceptor.local_endpoint())) {}
+
+    void accept() {
+      Acceptor.async_accept(
+          [self = shared_from_this()](error_code ec, tcp::socket socket) {
+            if (self->Stopped)
+              return;
+            if (ec)
+              return self->acceptLater();
+            self->open(std::move(socket));
+            self->accept();
+          });
+    }
+
+    void acceptLater() {
+      Retry.expires_after(AcceptRetry);
+      Retry.async_wait([self = shared_from_this()](error_code ec) {
+        if (!ec && !self->Stopped)
+          self->accept();
+      });
+    }
+
+    void open(tcp::socket socket) {
+      const ConnectionId id{++LastId};
+      auto onFrame = [self = shared_from_this(),
+                      id](std::span<const std::byte> frame) {
+        if (!self->Stopped)
+          self->Handlers.OnFrame(id, frame);
+      };
+      auto onClose = [self = shared_from_this(), id] {
+        self->Connections.erase(id);
+        if (!self->Stopped)
+          self->Handlers.OnClose(id);
+      };
+      auto connection = std::make_shared<TcpConnection>(
+          std::move(socket), std::move(onFrame), std::move(onClose));
+      Connections.emplace(id, connection);
+      Handlers.OnOpen(id);
+      connection->start();
+    }
+
+    tcp::acceptor Acceptor;
+    boost::asio::steady_timer Retry;
+    TcpHandlers Handlers;
+    Endpoint Local;
+    std::unordered_map<ConnectionId, std::shared_ptr<TcpConnection>>
+        Connections;
+    std::uint64_t LastId = 0;
+    bool Stopped = false;
+  };
+
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<TcpServer>>
+listenTcp(boost::asio::io_context &context, const Endpoint &local,
+          TcpHandlers handlers) {
+  try {
+    tcp::acceptor acceptor(context);
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(toAsio<tcp>(local));
+    acceptor.listen();
+    return std::make_unique<AsioTcpServer>(std::move(acceptor),
+                                           std::move(handlers));
+  } catch (const boost::system::system_error &e) {
+    return absl::UnavailableError(
+        absl::StrCat("cannot listen on ", toString(local), ": ", e.what()));
+  }
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Runtime/Timer.cpp
@@ -0,0 +1,73 @@
+#include "Runtime/Runtime.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+
+namespace pistachio {
+namespace {
+
+class AsioTimer : public PeriodicTimer {
+public:
+  AsioTimer(boost::asio::io_context &context, Duration interval,
+            std::function<void()> step)
+      : Loop(std::make_shared<State>(context, interval, std::move(step))) {
+    Loop->schedule();
+  }
+  ~AsioTimer() override { AsioTimer::stop(); }
+  AsioTimer(const AsioTimer &) = delete;
+  AsioTimer &operator=(const AsioTimer &) = delete;
+
+  void stop() override {
+    Loop->Stopped = true;
+    Loop->Timer.cancel();
+  }
+
+private:
+  struct State : std::enable_shared_from_this<State> {
+    State(boost::asio::io_context &context, Duration interval,
+          std::function<void()> step)
+        : Timer(context), Interval(interval), Step(std::move(step)) {}
+
+    void schedule() {
+      Timer.expires_after(Interval);
+      Timer.async_wait(
+          [self = shared_from_this()](boost::system::error_code ec) {
+            if (ec || self->Stopped)
+              return;
+            self->Step();
+            if (!self->Stopped)
+              self->schedule();
+          });
+    }
+
+    boost::asio::steady_timer Timer;
+    Duration Interval;
+    std::function<void()> Step;
+    bool Stopped = false;
+  };
+
+  std::shared_ptr<State> Loop;
+};
+
+} // namespace
+
+std::unique_ptr<PeriodicTimer> startTimer(boost::asio::io_context &context,
+                                          Duration interval,
+                                          std::function<void()> step) {
+  return std::make_unique<AsioTimer>(context, interval, std::move(step));
+}
+
+void onStopSignal(boost::asio::io_context &context,
+                  std::function<void()> stop) {
+  auto signals =
+      std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
+  signals->async_wait([signals, stop = std::move(stop)](
+                          boost::system::error_code ec, int /*signal*/) {
+    if (!ec)
+      stop();
+  });
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Runtime/Udp.cpp
@@ -0,0 +1,130 @@
+#include "Runtime/AsioEndpoint.h"
+#include "Runtime/Runtime.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <atomic>
+#include <sys/socket.h>
+
+namespace pistachio {
+namespace {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+/// Largest datagram that is read; a longer one is cut off and then refused by
+/// its decoder.
+constexpr std::size_t ReceiveBufferBytes = 2048;
+
+/// Datagrams read in one go before other work of the context gets its turn.
+constexpr int MaxDatagramsPerWakeup = 64;
+
+/// Socket buffers that hold a burst of several thousand datagrams.
+constexpr int SocketBufferBytes = 4 * 1024 * 1024;
+
+using ReusePort =
+    boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+class AsioUdp : public UdpEndpoint {
+public:
+  AsioUdp(udp::socket socket, Handler handler)
+      : Link(std::make_shared<State>(std::move(socket), std::move(handler))) {
+    Link->waitReadable();
+  }
+  ~AsioUdp() override { AsioUdp::stop(); }
+  AsioUdp(const AsioUdp &) = delete;
+  AsioUdp &operator=(const AsioUdp &) = delete;
+
+  Endpoint endpoint() const override { return Link->Local; }
+
+  void send(std::span<const std::byte> buf, const Endpoint &to) override {
+    const udp::endpoint target = toAsio<udp>(to);
+    // The system call is thread-safe on one descriptor, unlike Asio's socket
+    // object.
+    const auto n = ::sendto(Link->Descriptor, buf.data(), buf.size(),
+                            MSG_DONTWAIT | MSG_NOSIGNAL, target.data(),
+                            static_cast<socklen_t>(target.size()));
+    if (n < 0)
+      Link->DroppedSends.fetch_add(1, std::memory_order_relaxed);
+  }
+
+  std::uint64_t droppedSends() const override {
+    return Link->DroppedSends.load(std::memory_order_relaxed);
+  }
+
+  void stop() override {
+    Link->Stopped = true;
+    error_code ec;
+    Link->Socket.close(ec);
+  }
+
+private:
+  struct State : std::enable_shared_from_this<State> {
+    State(udp::socket socket, Handler handler)
+        : Socket(std::move(socket)), Receive(std::move(handler)),
+          Descriptor(Socket.native_handle()),
+          Local(fromAsio(Socket.local_endpoint())) {}
+
+    void waitReadable() {
+      Socket.async_wait(udp::socket::wait_read,
+                        [self = shared_from_this()](error_code ec) {
+                          if (ec || self->Stopped)
+                            return;
+                          self->readAvailable();
+                          if (!self->Stopped)
+                            self->waitReadable();
+                        });
+    }
+
+    void readAvailable() {
+      for (int i = 0; i < MaxDatagramsPerWakeup && !Stopped; ++i) {
+        udp::endpoint from;
+        error_code ec;
+        const std::size_t n =
+            Socket.receive_from(boost::asio::buffer(Buffer), from, 0, ec);
+        if (ec == boost::asio::error::would_block)
+          return;
+        // An ICMP error of an earlier datagram is reported here and concerns no
+        // received one.
+        if (!ec)
+          Receive(std::span<const std::byte>(Buffer).first(n), fromAsio(from));
+      }
+    }
+
+    udp::socket Socket;
+    Handler Receive;
+    int Descriptor;
+    Endpoint Local;
+    std::array<std::byte, ReceiveBufferBytes> Buffer;
+    std::atomic<std::uint64_t> DroppedSends = 0;
+    std::atomic<bool> Stopped = false;
+  };
+
+  std::shared_ptr<State> Link;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<UdpEndpoint>>
+openUdp(boost::asio::io_context &context, const Endpoint &local,
+        UdpEndpoint::Handler handler, bool reusePort) {
+  try {
+    udp::socket socket(context);
+    socket.open(udp::v4());
+    if (reusePort)
+      socket.set_option(ReusePort(true));
+    socket.set_option(udp::socket::receive_buffer_size(SocketBufferBytes));
+    socket.set_option(udp::socket::send_buffer_size(SocketBufferBytes));
+    socket.bind(toAsio<udp>(local));
+    socket.non_blocking(true);
+    return std::make_unique<AsioUdp>(std::move(socket), std::move(handler));
+  } catch (const boost::system::system_error &e) {
+    return absl::UnavailableError(absl::StrCat(
+        "cannot open UDP endpoint ", toString(local), ": ", e.what()));
+  }
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -0,0 +1,112 @@
+#include "Runtime/Runtime.h"
+
+#include "RunUntil.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace pistachio {
+namespace {
+
+const Endpoint Loopback{0x7F000001, 0};
+
+Bytes makeFrame(std::size_t names) {
+  TableUpdate update;
+  for (std::size_t i = 0; i < names; ++i)
+    update.RemovedBalancers.push_back("balancer-" + std::to_string(i));
+  Bytes frame;
+  EXPECT_TRUE(encodeNode(update, frame).ok());
+  return frame;
+}
+
+struct EchoServer {
+  explicit EchoServer(boost::asio::io_context &context) {
+    auto server =
+        listenTcp(context, Loopback,
+                  {[this](ConnectionId) { ++Opened; },
+                   [this](ConnectionId id, std::span<const std::byte> frame) {
+                     Tcp->send(id, frame);
+                   },
+                   [this](ConnectionId) { ++Closed; }});
+    EXPECT_TRUE(server.ok()) << server.status();
+    Tcp = *std::move(server);
+  }
+  std::unique_ptr<TcpServer> Tcp;
+  int Opened = 0;
+  int Closed = 0;
+};
+
+// Guards against frames that are merged, split or reordered by the stream.
+TEST(TcpTest, FramesKeepTheirBordersAndOrder) {
+  boost::asio::io_context context;
+  EchoServer server(context);
+  std::vector<Bytes> received;
+  bool open = false;
+  const auto client =
+      connectTcp(context, {server.Tcp->endpoint()},
+                 {[&](ConnectionId) { open = true; },
+                  [&](ConnectionId, std::span<const std::byte> frame) {
+                    received.emplace_back(frame.begin(), frame.end());
+                  },
+                  [](ConnectionId) {}});
+  ASSERT_TRUE(runUntil(context, [&] { return open; }));
+  std::vector<Bytes> sent;
+  for (std::size_t n : {0, 1, 4000, 2, 1000}) {
+    sent.push_back(makeFrame(n));
+    client->send(sent.back());
+  }
+  ASSERT_TRUE(
+      runUntil(context, [&] { return received.size() == sent.size(); }));
+  EXPECT_EQ(received, sent);
+}
+
+// Guards against a client that stays with a server that is gone.
+TEST(TcpTest, ClientGoesOnToTheNextServer) {
+  boost::asio::io_context context;
+  auto first = std::make_unique<EchoServer>(context);
+  EchoServer second(context);
+  int opened = 0;
+  const auto client = connectTcp(
+      context, {first->Tcp->endpoint(), second.Tcp->endpoint()},
+      {[&](ConnectionId) { ++opened; },
+       [](ConnectionId, std::span<const std::byte>) {}, [](ConnectionId) {}});
+  ASSERT_TRUE(runUntil(context, [&] { return first->Opened == 1; }));
+  first->Tcp->stop();
+  EXPECT_TRUE(
+      runUntil(context, [&] { return second.Opened == 1 && opened == 2; }));
+}
+
+class BadStreamTest : public testing::TestWithParam<int> {};
+
+Bytes badStream(int row) {
+  Bytes frame = makeFrame(3);
+  switch (row) {
+  case 0: // magic
+    frame[0] = std::byte{0};
+    break;
+  case 1: // version
+    frame[2] = std::byte{99};
+    break;
+  default: // length field far beyond the bound
+    frame[7] = std::byte{0xFF};
+  }
+  return frame;
+}
+
+// Guards against a peer whose length field makes the server allocate or wait
+// for ever.
+TEST_P(BadStreamTest, IsDisconnected) {
+  boost::asio::io_context context;
+  EchoServer server(context);
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(
+      {boost::asio::ip::address_v4::loopback(), server.Tcp->endpoint().Port});
+  boost::asio::write(socket, boost::asio::buffer(badStream(GetParam())));
+  EXPECT_TRUE(runUntil(context, [&] { return server.Closed == 1; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, BadStreamTest, testing::Range(0, 3));
+
+} // namespace
+} // namespace pistachio
