Add the control daemon

Purpose: carry the replicated log, the node channel, leases and the administration API in one process.

Ruled out: a thread for each channel (the state machine would need locks); serving leases from a follower without asking the leader.

--- /dev/null
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -0,0 +1,179 @@
+#include "ControlDaemon/ControlBackend.h"
+
+#include "Telemetry/Telemetry.h"
+
+#include <map>
+#include <utility>
+
+namespace pistachio {
+namespace {
+
+std::string nameOf(Role role) {
+  switch (role) {
+  case Role::Follower:
+    return "follower";
+  case Role::PreCandidate:
+    return "pre-candidate";
+  case Role::Candidate:
+    return "candidate";
+  case Role::Leader:
+    return "leader";
+  }
+  return "";
+}
+
+std::string nameOf(UpstreamState state, bool isOut) {
+  if (isOut)
+    return "out";
+  switch (state) {
+  case UpstreamState::Active:
+    return "active";
+  case UpstreamState::Draining:
+    return "draining";
+  case UpstreamState::Suspect:
+    return "suspect";
+  }
+  return "";
+}
+
+/// Faults that need no log entry. What passes here is decided by the state
+/// machine.
+absl::Status checkRequest(const ApplyRequest &request) {
+  if (request.OperationId.empty() ||
+      request.OperationId.size() > MaxOperationIdBytes)
+    return absl::InvalidArgumentError(
+        "operation id must have 1 to 64 characters");
+  if (request.Rules.size() > MaxRulesBytes)
+    return absl::InvalidArgumentError("rules are larger than 768 KiB");
+  if (request.Team.size() > MaxNameBytes ||
+      request.Operator.size() > MaxNameBytes)
+    return absl::InvalidArgumentError("a name is longer than 64 characters");
+  Findings findings;
+  RuleSet::parse(request.Rules, "rules", findings);
+  return findings.toStatus();
+}
+
+absl::StatusOr<ApplyOutcome> toOutcome(const ApplyReply &reply) {
+  const ApplyResult &result = reply.Result;
+  switch (result.What) {
+  case ApplyResult::Code::Applied:
+  case ApplyResult::Code::Unchanged:
+    return ApplyOutcome{result.RulesRevision, result.Text, reply.Repeated};
+  case ApplyResult::Code::Conflict:
+    return absl::AbortedError(result.Text);
+  case ApplyResult::Code::Invalid:
+    return absl::InvalidArgumentError(result.Text);
+  case ApplyResult::Code::NotPermitted:
+    return absl::PermissionDeniedError(result.Text);
+  }
+  return absl::InternalError("unknown result code");
+}
+
+} // namespace
+
+void ControlBackend::readRules(
+    std::function<void(absl::StatusOr<CurrentRules>)> done) {
+  Calls.readRules([done = std::move(done)](absl::StatusOr<RulesReply> reply) {
+    if (!reply.ok())
+      return done(absl::UnavailableError(reply.status().message()));
+    done(CurrentRules{reply->RulesRevision, std::move(reply->Rules)});
+  });
+}
+
+void ControlBackend::readStatus(
+    std::function<void(absl::StatusOr<ControlStatus>)> done) {
+  Calls.readContacts(
+      [this, done = std::move(done)](const absl::StatusOr<StatusReply> &reply) {
+        ControlStatus status = localStatus();
+        if (reply.ok()) {
+          std::map<std::string_view, const NodeContact *> nodes;
+          for (const NodeContact &it : reply->Nodes)
+            nodes.emplace(it.Name, &it);
+          for (NodeStatus &it : status.Balancers) {
+            const auto contact = nodes.find(it.Name);
+            if (contact == nodes.end())
+              continue;
+            it.InForce = contact->second->InForce;
+            it.SilentMs = contact->second->SilentMs;
+          }
+          std::map<UpstreamId, std::uint32_t> flows;
+          for (const UpstreamFlows &it : reply->Flows)
+            flows.emplace(it.Upstream, it.Flows);
+          for (UpstreamStatus &it : status.Upstreams) {
+            if (const auto count = flows.find(it.Id); count != flows.end())
+              it.Flows = count->second;
+          }
+        }
+        done(std::move(status));
+      });
+}
+
+ControlStatus ControlBackend::localStatus() const {
+  ControlStatus status;
+  const ConsensusNode &node = Control.node();
+  status.Role = nameOf(node.role());
+  status.Term = node.term();
+  status.CommitIndex = node.commitIndex();
+  status.Published = Control.state().published();
+  status.RulesRevision = Control.state().rulesRevision();
+  for (const Member &it : node.members())
+    status.Members.push_back({it.Id, it.Address, it.Voter});
+  addBalancers(status);
+  addUpstreams(status);
+  return status;
+}
+
+void ControlBackend::addBalancers(ControlStatus &status) const {
+  const ControlState &state = Control.state();
+  std::map<DataCentreId, std::string> names;
+  for (const std::string &it : state.rules().dataCentres())
+    names.emplace(state.findDataCentre(it)->Id, it);
+  for (const BalancerRecord &it : state.balancers())
+    status.Balancers.push_back(
+        {it.Name, names[it.DataCentre], it.Address, Revision{}, 0});
+}
+
+void ControlBackend::addUpstreams(ControlStatus &status) const {
+  const ControlState &state = Control.state();
+  std::map<ServiceId, std::string> services;
+  for (const ServiceRule &it : state.rules().services())
+    services.emplace(state.findService(it.Name)->Id, it.Name);
+  std::map<DataCentreId, DataCentreRecord> dataCentres;
+  for (const std::string &it : state.rules().dataCentres()) {
+    const DataCentreRecord record = *state.findDataCentre(it);
+    dataCentres.emplace(record.Id, record);
+  }
+  for (const UpstreamInfo &it : state.upstreams()) {
+    const DataCentreRecord &dataCentre = dataCentres[it.Record.DataCentre];
+    status.Upstreams.push_back(
+        {it.Record.Id, services[it.Record.Service], dataCentre.Name, it.Zone,
+         it.Machine, it.Record.Address, nameOf(it.Record.State, dataCentre.Out),
+         it.Slots, 0});
+  }
+}
+
+void ControlBackend::apply(
+    ApplyRequest request,
+    std::function<void(absl::StatusOr<ApplyOutcome>)> done) {
+  if (absl::Status fault = checkRequest(request); !fault.ok()) {
+    ++Refused;
+    return done(std::move(fault));
+  }
+  ApplyRules command{
+      request.OperationId, request.ExpectedRevision, request.Team,
+      request.Operator,    std::move(request.Rules), 0};
+  Calls.apply(std::move(command), [this, operationId = request.OperationId,
+                                   askedBy = request.Operator,
+                                   done = std::move(done)](
+                                      absl::StatusOr<ApplyReply> reply) {
+    absl::StatusOr<ApplyOutcome> outcome =
+        reply.ok() ? toOutcome(*reply) : reply.status();
+    ++(outcome.ok() ? Applied : Refused);
+    logEvent(outcome.ok() ? LogLevel::Info : LogLevel::Warning, "rules_apply",
+             outcome.ok() ? "rules accepted" : outcome.status().ToString(),
+             {{"operation", operationId}, {"operator", askedBy}});
+    done(std::move(outcome));
+  });
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -0,0 +1,248 @@
+#include "ControlDaemon/ControlDaemon.h"
+
+#include <boost/asio/post.hpp>
+
+#include <random>
+#include <utility>
+
+namespace pistachio {
+namespace {
+
+/// Resolution of all timeouts; well below the heartbeat interval of 100 ms.
+constexpr Duration TickInterval{20};
+constexpr Duration JoinInterval{500};
+/// A lease lasts seconds, so it can still be granted when some of these
+/// questions are lost.
+constexpr Duration ConfirmInterval{250};
+/// Changes in progress are given this long at a stop.
+constexpr Duration StopGrace{2000};
+
+std::string nameOfRole(Role role) {
+  return role == Role::Leader     ? "leader"
+         : role == Role::Follower ? "follower"
+                                  : "candidate";
+}
+
+bool isEmpty(const LogStorage &storage) {
+  return storage.lastIndex() == 0 && !storage.snapshot() &&
+         storage.hardState().Term == 0;
+}
+
+std::string textOf(const absl::Status &status) {
+  return {status.message().data(), status.message().size()};
+}
+
+} // namespace
+
+struct ControlDaemon::Metrics {
+  std::unique_ptr<MetricsRegistry> Registry = makeMetricsRegistry();
+  Gauge &IsLeader = Registry->gauge("pistachio_control_is_leader",
+                                    "1 while this member leads");
+  Gauge &Term = Registry->gauge("pistachio_control_term", "Term of the log");
+  Gauge &CommitIndex = Registry->gauge("pistachio_control_commit_index",
+                                       "Last committed log entry");
+  Gauge &Published = Registry->gauge("pistachio_control_published_revision",
+                                     "Revision of the published table");
+  Gauge &Subscribers = Registry->gauge("pistachio_control_subscribers",
+                                       "Balancers connected to this member");
+  Gauge &Granted = Registry->gauge("pistachio_control_leases_granted",
+                                   "Leases granted since the start");
+  Gauge &Refused = Registry->gauge("pistachio_control_leases_refused",
+                                   "Leases refused since the start");
+  Gauge &Applied = Registry->gauge("pistachio_control_rules_applied",
+                                   "Rule changes accepted since the start");
+  Gauge &RulesRefused = Registry->gauge("pistachio_control_rules_refused",
+                                        "Rule changes refused since the start");
+};
+
+ControlDaemon::ControlDaemon(boost::asio::io_context &context,
+                             ControlSettings settings)
+    : Context(context), Settings(std::move(settings)),
+      Leases(Duration(Settings.LeaseMs)),
+      Measured(std::make_unique<Metrics>()) {}
+
+ControlDaemon::~ControlDaemon() = default;
+
+absl::StatusOr<std::unique_ptr<ControlDaemon>>
+ControlDaemon::start(boost::asio::io_context &context, ControlSettings settings,
+                     bool initialise) {
+  std::unique_ptr<ControlDaemon> daemon(
+      new ControlDaemon(context, std::move(settings)));
+  if (absl::Status opened = daemon->open(initialise); !opened.ok())
+    return opened;
+  if (absl::Status listening = daemon->listen(); !listening.ok())
+    return listening;
+  daemon->Timer =
+      startTimer(context, TickInterval, [it = daemon.get()] { it->tick(); });
+  logEvent(LogLevel::Info, "control_started", "control instance started",
+           {{"name", daemon->Settings.Name},
+            {"member", std::to_string(daemon->Control->identity().Value)}});
+  return daemon;
+}
+
+absl::Status ControlDaemon::open(bool initialise) {
+  auto storage = openFileLogStorage(Settings.DataFolder);
+  if (!storage.ok())
+    return storage.status();
+  Storage = *std::move(storage);
+  if (initialise && !isEmpty(*Storage))
+    return absl::FailedPreconditionError(
+        "data folder " + Settings.DataFolder +
+        " already belongs to a group; start without --init");
+  ConsensusOptions options;
+  options.Seed = std::random_device{}();
+  if (initialise)
+    options.InitialMembers = {{Storage->identity(), Settings.Peers, true}};
+  Links = std::make_unique<PeerLinks>(Context, peerHandlers());
+  Control = std::make_unique<ReplicatedControl>(
+      ReplicatedControlOptions{}, std::move(options), AnnouncementOptions{},
+      *Storage, hooks(), steadyNow());
+  Membership = std::make_unique<GroupMembership>(*Control, Settings.Peers);
+  Calls = std::make_unique<LeaderCalls>(*Control, *Links);
+  Nodes = std::make_unique<NodeChannel>(NodeChannelOptions{}, *Control, *Calls,
+                                        Leases);
+  Backend = std::make_unique<ControlBackend>(*Control, *Calls);
+  return Control->health();
+}
+
+absl::Status ControlDaemon::listen() {
+  if (absl::Status status = Links->listen(Settings.Peers); !status.ok())
+    return status;
+  if (absl::Status status = Nodes->listen(Context, Settings.Nodes);
+      !status.ok())
+    return status;
+  AdminServerOptions options;
+  options.Listen = Settings.Admin;
+  for (const CredentialSettings &it : Settings.Credentials)
+    options.Credentials.push_back({it.Team, it.Secret});
+  auto admin = startAdminServer(Context, std::move(options), *Backend);
+  if (!admin.ok())
+    return admin.status();
+  Admin = *std::move(admin);
+  return Measured->Registry->expose(Settings.Metrics);
+}
+
+ReplicatedControl::Hooks ControlDaemon::hooks() {
+  ReplicatedControl::Hooks hooks;
+  hooks.Send = [this](const OutgoingMessage &it) {
+    Links->send(it.To.Address, it.Message);
+  };
+  hooks.OnPublished = [this] {
+    if (Nodes)
+      Nodes->publish();
+  };
+  // Commands of all messages that are ready to be read are queued before the
+  // posted handler runs, and share one sync.
+  hooks.OnQueued = [this] {
+    boost::asio::post(Context, [this] { Control->flush(steadyNow()); });
+  };
+  return hooks;
+}
+
+PeerLinks::Handlers ControlDaemon::peerHandlers() {
+  PeerLinks::Handlers handlers;
+  handlers.OnConsensus = [this](const ConsensusMessage &it) {
+    onConsensus(it);
+  };
+  handlers.OnCall = [this](const PeerMessage &it, PeerLinks::SendReply reply) {
+    Calls->onCall(it, reply);
+  };
+  return handlers;
+}
+
+void ControlDaemon::onConsensus(const ConsensusMessage &message) {
+  const TimePoint now = steadyNow();
+  if (const auto *request = std::get_if<JoinRequest>(&message))
+    return Links->send(Endpoint{}, Membership->onJoinRequest(*request, now));
+  if (const auto *reply = std::get_if<JoinReply>(&message)) {
+    JoinHint = reply->Leader;
+    return;
+  }
+  Control->receive(message, now);
+}
+
+void ControlDaemon::tick() {
+  const TimePoint now = steadyNow();
+  Control->tick(now);
+  Membership->tick(now);
+  Links->tick(now);
+  Nodes->tick(now);
+  if (Membership->needsToJoin())
+    askToJoin(now);
+  confirmLeader(now);
+  logRoleChange();
+  const ConsensusNode &node = Control->node();
+  Measured->IsLeader.set(Control->isLeader() ? 1 : 0);
+  Measured->Term.set(static_cast<double>(node.term()));
+  Measured->CommitIndex.set(static_cast<double>(node.commitIndex()));
+  Measured->Published.set(
+      static_cast<double>(Control->state().published().Value));
+  Measured->Subscribers.set(static_cast<double>(Nodes->subscribers()));
+  Measured->Granted.set(static_cast<double>(Nodes->leasesGranted()));
+  Measured->Refused.set(static_cast<double>(Nodes->leasesRefused()));
+  Measured->Applied.set(static_cast<double>(Backend->applied()));
+  Measured->RulesRefused.set(static_cast<double>(Backend->refused()));
+  if (absl::Status health = Control->health(); !health.ok())
+    fail(std::move(health));
+  if (StopBy)
+    finishStop(now);
+}
+
+void ControlDaemon::askToJoin(TimePoint now) {
+  if (now - LastJoin < JoinInterval)
+    return;
+  LastJoin = now;
+  Endpoint target = std::exchange(JoinHint, Endpoint{});
+  if (target.Port == 0 && !Settings.Members.empty())
+    target =
+        Settings.Members[NextJoinTarget++ % Settings.Members.size()].Address;
+  if (target.Port != 0 && target != Settings.Peers)
+    Links->send(target, Membership->joinRequest());
+}
+
+void ControlDaemon::confirmLeader(TimePoint now) {
+  if (now - LastConfirmation < ConfirmInterval)
+    return;
+  LastConfirmation = now;
+  Calls->confirmLeader([this, now](std::uint64_t commitIndex) {
+    Leases.onConfirmed(now, commitIndex);
+  });
+}
+
+void ControlDaemon::logRoleChange() {
+  const Role role = Control->node().role();
+  if (role == LastRole)
+    return;
+  LastRole = role;
+  logEvent(LogLevel::Info, "role_changed", "role in the group changed",
+           {{"role", nameOfRole(role)},
+            {"term", std::to_string(Control->node().term())}});
+}
+
+void ControlDaemon::fail(absl::Status why) {
+  if (!Outcome.ok())
+    return;
+  logEvent(LogLevel::Error, "control_failed", textOf(why));
+  Outcome = std::move(why);
+  Context.stop();
+}
+
+void ControlDaemon::stop() {
+  if (StopBy)
+    return;
+  logEvent(LogLevel::Info, "control_stopping", "stop was requested");
+  StopBy = steadyNow() + StopGrace;
+}
+
+void ControlDaemon::finishStop(TimePoint now) {
+  if (Control->hasWaiters() && now < *StopBy)
+    return;
+  Timer->stop();
+  Admin->stop();
+  Nodes->stop();
+  Links->stop();
+  logEvent(LogLevel::Info, "control_stopped", "control instance stopped");
+  Context.stop();
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "ControlDaemon/ControlBackend.h"
+#include "ControlDaemon/GroupMembership.h"
+#include "ControlDaemon/NodeChannel.h"
+#include "Settings/Settings.h"
+#include "Telemetry/Telemetry.h"
+
+#include "absl/status/status.h"
+
+#include <memory>
+#include <optional>
+
+namespace pistachio {
+
+/// Wires the parts of one control instance together. Everything runs on the one
+/// thread of the context.
+class ControlDaemon {
+public:
+  /// \p initialise makes a group of one; FailedPrecondition if the data folder
+  /// already belongs to a group.
+  static absl::StatusOr<std::unique_ptr<ControlDaemon>>
+  start(boost::asio::io_context &context, ControlSettings settings,
+        bool initialise);
+  ~ControlDaemon();
+
+  /// Takes no more work, waits for changes in progress and stops the context.
+  void stop();
+  /// Why the daemon stopped; OK after stop().
+  const absl::Status &outcome() const { return Outcome; }
+
+  const ReplicatedControl &control() const { return *Control; }
+
+private:
+  struct Metrics;
+
+  ControlDaemon(boost::asio::io_context &context, ControlSettings settings);
+
+  absl::Status open(bool initialise);
+  absl::Status listen();
+  ReplicatedControl::Hooks hooks();
+  PeerLinks::Handlers peerHandlers();
+  void onConsensus(const ConsensusMessage &message);
+  void tick();
+  void askToJoin(TimePoint now);
+  void confirmLeader(TimePoint now);
+  void logRoleChange();
+  void fail(absl::Status why);
+  void finishStop(TimePoint now);
+
+  boost::asio::io_context &Context;
+  ControlSettings Settings;
+  absl::Status Outcome;
+  std::unique_ptr<LogStorage> Storage;
+  std::unique_ptr<PeerLinks> Links;
+  std::unique_ptr<ReplicatedControl> Control;
+  std::unique_ptr<GroupMembership> Membership;
+  std::unique_ptr<LeaderCalls> Calls;
+  LeaseAuthority Leases;
+  std::unique_ptr<NodeChannel> Nodes;
+  std::unique_ptr<ControlBackend> Backend;
+  std::unique_ptr<AdminServer> Admin;
+  std::unique_ptr<Metrics> Measured;
+  std::unique_ptr<PeriodicTimer> Timer;
+  std::optional<TimePoint> StopBy;
+  /// Where to ask for admission next.
+  std::size_t NextJoinTarget = 0;
+  Endpoint JoinHint;
+  TimePoint LastJoin{};
+  TimePoint LastConfirmation{};
+  Role LastRole = Role::Follower;
+};
+
+} // namespace pistachio
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -20,13 +20,14 @@
     // The former member at this address lost its data folder. One change at a
     // time: the joiner asks again and is added then.
     if (it.Address == request.Address)
-      return Control.change([&](ConsensusNode &node, ConsensusOutput &output) {
-        absl::Status removed = node.remove(it.Id, now, output);
-        return removed.ok() ? absl::UnavailableError("being replaced")
-                            : removed;
-      });
+      return Control.change(
+          now, [&](ConsensusNode &node, ConsensusOutput &output) {
+            absl::Status removed = node.remove(it.Id, now, output);
+            return removed.ok() ? absl::UnavailableError("being replaced")
+                                : removed;
+          });
   }
-  return Control.change([&](ConsensusNode &node, ConsensusOutput &output) {
+  return Control.change(now, [&](ConsensusNode &node, ConsensusOutput &output) {
     return node.addLearner({request.From, request.Address, false}, now, output);
   });
 }
@@ -35,13 +36,12 @@
   if (!Control.isLeader())
     return;
   const std::vector<Member> members = Control.node().members();
-  const auto learner =
-      std::find_if(members.begin(), members.end(),
-                   [](const Member &it) { return !it.Voter; });
+  const auto learner = std::find_if(members.begin(), members.end(),
+                                    [](const Member &it) { return !it.Voter; });
   if (learner == members.end())
     return;
   // Refused until the learner has caught up; the next tick asks again.
-  (void)Control.change([&](ConsensusNode &node, ConsensusOutput &output) {
+  (void)Control.change(now, [&](ConsensusNode &node, ConsensusOutput &output) {
     return node.promote(learner->Id, now, output);
   });
 }
--- /dev/null
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "ControlDaemon/PeerLinks.h"
+#include "ControlDaemon/ReplicatedControl.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace pistachio {
+
+struct ApplyReply {
+  ApplyResult Result;
+  bool Repeated = false;
+};
+
+/// Runs what needs the leader: here if this member leads, otherwise by a call
+/// to the leader. Also answers the calls of other members.
+class LeaderCalls {
+public:
+  LeaderCalls(ReplicatedControl &control, PeerLinks &links)
+      : Control(control), Links(links) {}
+
+  /// Unavailable: not accepted. DeadlineExceeded: the outcome is not known.
+  void apply(ApplyRules command,
+             std::function<void(absl::StatusOr<ApplyReply>)> done);
+  void readRules(std::function<void(absl::StatusOr<RulesReply>)> done);
+  void readContacts(std::function<void(absl::StatusOr<StatusReply>)> done);
+  void announce(const Announce &announce,
+                std::function<void(const AnnounceReply &)> done);
+  void subscribe(const Subscribe &subscribe);
+  void renewLease(const LeaseRequest &request);
+  /// Asks for the leader lease; \p done runs with the commit index if it is
+  /// held.
+  void confirmLeader(std::function<void(std::uint64_t commitIndex)> done);
+
+  void onCall(const PeerMessage &message, const PeerLinks::SendReply &reply);
+
+private:
+  template <typename Reply>
+  void callLeader(PeerMessage message, Duration timeout,
+                  std::function<void(absl::StatusOr<Reply>)> done);
+  void applyHere(ApplyRules command,
+                 std::function<void(absl::StatusOr<ApplyReply>)> done);
+  void readRulesHere(std::function<void(absl::StatusOr<RulesReply>)> done);
+  StatusReply contactsHere() const;
+  void
+  forwardNode(const NodeMessage &message,
+              std::function<void(absl::StatusOr<ForwardedNodeReply>)> done);
+  ForwardedNodeReply nodeMessageHere(const NodeMessage &message);
+
+  void answer(const ForwardedApply &call, const PeerLinks::SendReply &reply);
+  void answer(const ForwardedNodeMessage &call,
+              const PeerLinks::SendReply &reply);
+  void answer(const LeaderQuery &call, const PeerLinks::SendReply &reply);
+  void answer(const RulesQuery &call, const PeerLinks::SendReply &reply);
+  void answer(const StatusQuery &call, const PeerLinks::SendReply &reply);
+  template <typename Other>
+  void answer(const Other &, const PeerLinks::SendReply &) {}
+
+  ReplicatedControl &Control;
+  PeerLinks &Links;
+};
+
+} // namespace pistachio
--- a/Source/ControlDaemon/LeaseAuthority.h
+++ b/Source/ControlDaemon/LeaseAuthority.h
@@ -7,10 +7,10 @@
 
 namespace pistachio {
 
-/// Decides how long a lease this member may grant to a node. Every lease ends at
-/// most one lease time after a moment at which the leader was known to lead and
-/// this member has applied what the leader had accepted by then. A node that
-/// loses control therefore sends by a table that is at most that old.
+/// Decides how long a lease this member may grant to a node. Every lease ends
+/// at most one lease time after a moment at which the leader was known to lead
+/// and this member has applied what the leader had accepted by then. A node
+/// that loses control therefore sends by a table that is at most that old.
 class LeaseAuthority {
 public:
   explicit LeaseAuthority(Duration lease) : Lease(lease) {}
--- /dev/null
+++ b/Source/ControlDaemon/NodeChannel.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "ControlDaemon/LeaderCalls.h"
+#include "ControlDaemon/LeaseAuthority.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+
+namespace pistachio {
+
+struct NodeChannelOptions {
+  /// Pace of the table towards one node, in bytes per second, so that many
+  /// nodes that return together do not starve the control instance.
+  std::uint64_t BytesPerSecond = 10 * 1024;
+  /// Sent without a pause; covers the whole table of a small site.
+  std::uint64_t BurstBytes = 256 * 1024;
+};
+
+/// The channel to balancers and agents: pushes the table, grants leases and
+/// passes announcements on.
+class NodeChannel {
+public:
+  NodeChannel(NodeChannelOptions options, const ReplicatedControl &control,
+              LeaderCalls &calls, LeaseAuthority &leases)
+      : Options(options), Control(control), Calls(calls), Leases(leases) {}
+
+  absl::Status listen(boost::asio::io_context &context, const Endpoint &local);
+  /// The published revision changed.
+  void publish();
+  void tick(TimePoint now);
+  void stop();
+
+  std::size_t subscribers() const;
+  std::uint64_t leasesGranted() const { return Granted; }
+  std::uint64_t leasesRefused() const { return Refused; }
+  Endpoint endpoint() const { return Server->endpoint(); }
+
+private:
+  struct Connection {
+    bool Subscribed = false;
+    /// Revision that the node has once everything queued has arrived.
+    Revision Sent;
+    std::deque<Bytes> Parts;
+    /// Bytes that may be sent now; below 0 after a part that was larger.
+    std::int64_t Budget = 0;
+  };
+
+  void onFrame(ConnectionId from, std::span<const std::byte> frame);
+  void onMessage(ConnectionId from, const Subscribe &message);
+  void onMessage(ConnectionId from, const LeaseRequest &message);
+  void onMessage(ConnectionId from, const Announce &message);
+  /// Kinds that only control sends.
+  template <typename Other>
+  void onMessage(ConnectionId from, const Other & /*message*/) {
+    Server->close(from);
+  }
+  void push(ConnectionId to, Connection &connection);
+  void queueUpdates(Connection &connection);
+  void reply(ConnectionId to, const NodeMessage &message);
+
+  NodeChannelOptions Options;
+  const ReplicatedControl &Control;
+  LeaderCalls &Calls;
+  LeaseAuthority &Leases;
+  std::unique_ptr<TcpServer> Server;
+  std::map<ConnectionId, Connection> Connections;
+  TimePoint LastTick{};
+  std::uint64_t Granted = 0;
+  std::uint64_t Refused = 0;
+};
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -0,0 +1,149 @@
+#include "ControlDaemon/PeerLinks.h"
+
+#include "Telemetry/Telemetry.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace pistachio {
+namespace {
+
+bool isReply(const PeerMessage &message) {
+  return std::holds_alternative<ForwardedApplyReply>(message) ||
+         std::holds_alternative<ForwardedNodeReply>(message) ||
+         std::holds_alternative<LeaderReply>(message) ||
+         std::holds_alternative<RulesReply>(message) ||
+         std::holds_alternative<StatusReply>(message);
+}
+
+PeerCallId &callOf(PeerMessage &message) {
+  return std::visit([](auto &it) -> PeerCallId & { return it.Call; }, message);
+}
+
+} // namespace
+
+PeerLinks::PeerLinks(boost::asio::io_context &context, Handlers handlers)
+    : Context(context), Notify(std::move(handlers)) {}
+
+PeerLinks::~PeerLinks() { stop(); }
+
+absl::Status PeerLinks::listen(const Endpoint &local) {
+  TcpHandlers handlers;
+  handlers.OnOpen = [](ConnectionId) {};
+  handlers.OnClose = [](ConnectionId) {};
+  handlers.OnFrame = [this](ConnectionId from,
+                            std::span<const std::byte> frame) {
+    onFrame(frame, [this, from](std::span<const std::byte> buf) {
+      if (Server)
+        Server->send(from, buf);
+    });
+  };
+  auto server = listenTcp(Context, local, std::move(handlers));
+  if (!server.ok())
+    return server.status();
+  Server = *std::move(server);
+  return absl::OkStatus();
+}
+
+TcpClient &PeerLinks::linkTo(const Endpoint &to) {
+  std::unique_ptr<TcpClient> &link = Links[to];
+  if (link)
+    return *link;
+  TcpHandlers handlers;
+  handlers.OnOpen = [](ConnectionId) {};
+  handlers.OnClose = [](ConnectionId) {};
+  handlers.OnFrame = [this, to](ConnectionId,
+                                std::span<const std::byte> frame) {
+    onFrame(frame, [this, to](std::span<const std::byte> buf) {
+      if (const auto it = Links.find(to); it != Links.end())
+        it->second->send(buf);
+    });
+  };
+  link = connectTcp(Context, {to}, std::move(handlers));
+  return *link;
+}
+
+void PeerLinks::send(const Endpoint &to, const ConsensusMessage &message) {
+  Bytes buf;
+  if (absl::Status encoded = encodeConsensus(message, buf); !encoded.ok()) {
+    logEvent(LogLevel::Error, "peer_message_too_large", encoded.ToString());
+    return;
+  }
+  if (to.Port != 0)
+    linkTo(to).send(buf);
+  else if (Answering)
+    (*Answering)(buf);
+}
+
+void PeerLinks::call(const Endpoint &to, PeerMessage message,
+                     TimePoint deadline, ReplyHandler done) {
+  TcpClient &link = linkTo(to);
+  if (!link.isOpen())
+    return done(absl::UnavailableError("no connection to " + toString(to)));
+  const PeerCallId id{++LastCall.Value};
+  callOf(message) = id;
+  Bytes buf;
+  if (absl::Status encoded = encodePeer(message, buf); !encoded.ok())
+    return done(std::move(encoded));
+  Calls.emplace(id, PendingCall{deadline, std::move(done)});
+  link.send(buf);
+}
+
+void PeerLinks::onFrame(std::span<const std::byte> frame, const Back &back) {
+  if (const auto consensus = decodeConsensus(frame); consensus.ok()) {
+    Answering = &back;
+    Notify.OnConsensus(*consensus);
+    Answering = nullptr;
+    return;
+  }
+  absl::StatusOr<PeerMessage> message = decodePeer(frame);
+  if (message.ok())
+    return onPeerMessage(*std::move(message), back);
+  logEvent(LogLevel::Warning, "peer_message_invalid",
+           message.status().ToString());
+}
+
+void PeerLinks::onPeerMessage(PeerMessage message, const Back &back) {
+  if (isReply(message)) {
+    auto call = Calls.extract(callOf(message));
+    // A reply after the deadline has no call any more.
+    if (!call.empty())
+      call.mapped().Done(std::move(message));
+    return;
+  }
+  Notify.OnCall(message, [back](const PeerMessage &reply) {
+    Bytes buf;
+    if (encodePeer(reply, buf).ok())
+      back(buf);
+  });
+}
+
+void PeerLinks::tick(TimePoint now) {
+  std::vector<ReplyHandler> late;
+  std::erase_if(Calls, [&](auto &it) {
+    if (now < it.second.Deadline)
+      return false;
+    late.push_back(std::move(it.second.Done));
+    return true;
+  });
+  for (const ReplyHandler &it : late)
+    it(absl::DeadlineExceededError("no reply from the leader"));
+}
+
+void PeerLinks::keepOnly(std::span<const Member> members) {
+  std::erase_if(Links, [&](const auto &it) {
+    return std::none_of(
+        members.begin(), members.end(),
+        [&](const Member &member) { return member.Address == it.first; });
+  });
+}
+
+void PeerLinks::stop() {
+  Links.clear();
+  Calls.clear();
+  if (Server)
+    Server->stop();
+}
+
+} // namespace pistachio
--- a/Source/ControlDaemon/ReplicatedControl.cpp
+++ b/Source/ControlDaemon/ReplicatedControl.cpp
@@ -104,11 +104,12 @@
 }
 
 absl::Status ReplicatedControl::change(
+    TimePoint now,
     const std::function<absl::Status(ConsensusNode &, ConsensusOutput &)>
         &step) {
   ConsensusOutput output;
   absl::Status status = step(*Node, output);
-  handle(std::move(output), LastTrackerTick);
+  handle(std::move(output), now);
   return status;
 }
 
@@ -137,8 +138,8 @@
 }
 
 bool ReplicatedControl::holdsLeaderLease(TimePoint now) const {
-  // A new leader does not know the commit index of the former one until an entry
-  // of its own term is committed.
+  // A new leader does not know the commit index of the former one until an
+  // entry of its own term is committed.
   return isLeader() && Node->hasLeaderLease(now) &&
          Storage.term(Node->commitIndex()) == Node->term();
 }
@@ -189,9 +190,8 @@
     const absl::StatusOr<LogCommand> command = decodeCommand(entry.Payload);
     if (!command.ok()) {
       // Passing over it would let this member differ from the others.
-      StateHealth =
-          absl::DataLossError("log entry " + std::to_string(entry.Index) +
-                              " cannot be decoded");
+      StateHealth = absl::DataLossError(
+          "log entry " + std::to_string(entry.Index) + " cannot be decoded");
       return;
     }
     State->apply(entry.Index, *command);
--- a/Source/ControlDaemon/ReplicatedControl.h
+++ b/Source/ControlDaemon/ReplicatedControl.h
@@ -25,9 +25,9 @@
 /// what is committed and tells those who wait. Without sockets or clocks.
 class ReplicatedControl {
 public:
-  /// OK: the command was committed and applied. Unavailable: it was not accepted
-  /// and never will be. ResourceExhausted: the disk is full, nothing changed.
-  /// DeadlineExceeded: it may still be accepted.
+  /// OK: the command was committed and applied. Unavailable: it was not
+  /// accepted and never will be. ResourceExhausted: the disk is full, nothing
+  /// changed. DeadlineExceeded: it may still be accepted.
   using Done = std::function<void(absl::Status)>;
 
   struct Hooks {
@@ -54,7 +54,8 @@
   void read(TimePoint now, TimePoint deadline, Done done);
   /// A membership change or the like at the node.
   absl::Status
-  change(const std::function<absl::Status(ConsensusNode &, ConsensusOutput &)>
+  change(TimePoint now,
+         const std::function<absl::Status(ConsensusNode &, ConsensusOutput &)>
              &step);
 
   /// Announcements and subscriptions; only while this member leads.
