--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -143,4 +143,25 @@
 /// Runs \p stop once on SIGTERM or SIGINT.
 void onStopSignal(boost::asio::io_context &context, std::function<void()> stop);
 
+/// Exit codes of the daemons.
+namespace ExitCode {
+inline constexpr int Ok = 0;
+/// The settings file has findings, which were printed to standard error.
+inline constexpr int BadSettings = 1;
+inline constexpr int Usage = 2;
+/// A socket, folder or file could not be opened, or was lost while running.
+inline constexpr int Failed = 3;
+} // namespace ExitCode
+
+struct DaemonArguments {
+  std::string SettingsPath;
+  bool CheckOnly = false;
+};
+
+/// Parses --settings FILE and --check, and handles --help and --version, which
+/// end the process. Wrong usage ends it with ExitCode::Usage.
+DaemonArguments parseDaemonArguments(int argc, char **argv,
+                                     const std::string &description,
+                                     const std::string &version);
+
 } // namespace pistachio
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -72,11 +72,13 @@
 
 template <typename Archive> void fields(Archive &archive, PeerLeaseQuery &it) {
   text(archive, it.Node, MaxNodeName);
+  field(archive, it.Nonce);
   field(archive, it.Have);
 }
 
 template <typename Archive> void fields(Archive &archive, PeerLeaseAnswer &it) {
   text(archive, it.Node, MaxNodeName);
+  field(archive, it.Nonce);
   field(archive, it.RemainingMs);
   field(archive, it.Have);
 }
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -162,6 +162,9 @@
 /// Balancer to balancer: asks for a lease when control cannot be reached.
 struct PeerLeaseQuery {
   std::string Node;
+  /// Repeated in the answer, so that a late answer is not dated by a newer
+  /// query.
+  std::uint64_t Nonce = 0;
   Revision Have;
   friend bool operator==(const PeerLeaseQuery &,
                          const PeerLeaseQuery &) = default;
@@ -169,6 +172,7 @@
 
 struct PeerLeaseAnswer {
   std::string Node;
+  std::uint64_t Nonce = 0;
   /// 0 if the peer has no lease either.
   std::uint32_t RemainingMs = 0;
   Revision Have;
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -51,8 +51,8 @@
                        {UpstreamId{3}, Incarnation{9}},
                        250,
                        sampleBytes(40)},
-          PeerLeaseQuery{"balancer-1", Revision{8}},
-          PeerLeaseAnswer{"balancer-2", 1500, Revision{9}}};
+          PeerLeaseQuery{"balancer-1", 17, Revision{8}},
+          PeerLeaseAnswer{"balancer-2", 17, 1500, Revision{9}}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
