Add the routing library: ranking, table, lease and packet decision

Balancers need a decision for each packet that neither allocates nor locks, and a table that follows 1.3 changes a second at the target scale.

A service orders its members by rankWeight (bucket and upstream id), suspect ones last, so that the ranking of a first packet is a prefix of the ranking of all others. Above 32 members the first four ranks of each bucket are precomputed; a change of up to four members updates the former chains instead of computing all weights. The table is two sharded maps of shared services; a change copies the shards that it touches.

A walk goes on at the next rank only if the members of the service are those that the packet was routed with. Otherwise it starts again, since a member may have moved to a rank that was passed already. Hops of a walk in order do not count towards MaxHops, or rankings of more than 32 members could never be walked to the end.

Ruled out: asking peers only after the lease is over, which leaves either a gap or packets beyond the bound. Peers are asked from 500 ms before the end.

--- /dev/null
+++ b/Source/Core/Routing/PacketRouter.cpp
@@ -0,0 +1,157 @@
+#include "Routing/Routing.h"
+
+#include <algorithm>
+
+namespace pistachio {
+namespace {
+
+constexpr int BucketShift = 52;
+
+/// A service without a member that may accept flows gets one again when an
+/// upstream renews or joins, which takes about a second.
+constexpr std::uint32_t NoMemberRetryMs = 1000;
+
+Candidate toCandidate(const ServiceMember &member) {
+  return {member.Id, member.Run, member.Address, member.State};
+}
+
+RouteDecision drop(DropReason reason) {
+  RouteDecision out;
+  out.Reason = reason;
+  return out;
+}
+
+DropReason refusalOf(LeaseMode mode) {
+  switch (mode) {
+  case LeaseMode::Starting:
+    return DropReason::NotServing;
+  case LeaseMode::Isolated:
+    return DropReason::Isolated;
+  case LeaseMode::Leased:
+  case LeaseMode::ControlDown:
+    break;
+  }
+  return DropReason::None;
+}
+
+/// Fills the chain with the ranks from \p firstRank on.
+void walk(RouteDecision &out, std::size_t firstRank, std::uint8_t flags) {
+  const Service &service = *out.Target;
+  const bool isFirst = (flags & PacketFlag::First) != 0;
+  const std::size_t limit =
+      isFirst ? service.trustedCount() : service.members().size();
+  if (firstRank >= limit) {
+    out.Reason = DropReason::NoMember;
+    if (isFirst) {
+      out.Action = RouteAction::Refuse;
+      out.RetryAfterMs = NoMemberRetryMs;
+    } else if ((flags & PacketFlag::Established) != 0) {
+      out.Action = RouteAction::Reset;
+    }
+    return;
+  }
+  std::array<std::uint16_t, MaxChain> indices;
+  const std::size_t count = service.rank(
+      out.Bucket, firstRank,
+      std::span(indices).first(std::min(MaxChain, limit - firstRank)));
+  for (std::size_t n = 0; n < count; ++n)
+    out.Chain[n] = toCandidate(service.members()[indices[n]]);
+  out.Action = RouteAction::Forward;
+  out.FirstRank = static_cast<std::uint16_t>(firstRank);
+  out.ChainLength = static_cast<std::uint8_t>(count);
+  out.EndsRanking = firstRank + count >= limit;
+  out.SkippedSuspect = limit < service.members().size();
+}
+
+} // namespace
+
+RouteDecision routePacket(const ServiceTable &table, LeaseMode mode,
+                          const PacketHead &head) {
+  if (const DropReason reason = refusalOf(mode); reason != DropReason::None)
+    return drop(reason);
+  RouteDecision out;
+  out.Target = table.findByAddress(head.ServiceAddress);
+  if (out.Target == nullptr)
+    return drop(DropReason::UnknownService);
+  out.Bucket = static_cast<std::uint16_t>(
+      hashFlow(out.Target->id(), head.Caller, head.Flow) >> BucketShift);
+
+  // A token in a first packet belongs to another flow.
+  if (head.Token.Upstream && (head.Flags & PacketFlag::First) == 0) {
+    const auto it = out.Target->find(head.Token.Upstream);
+    if (it && out.Target->members()[*it].Run == head.Token.Run) {
+      out.Action = RouteAction::Forward;
+      out.Kind = ForwardKind::Token;
+      out.Chain[0] = toCandidate(out.Target->members()[*it]);
+      out.ChainLength = 1;
+      return out;
+    }
+  }
+  walk(out, 0, head.Flags);
+  return out;
+}
+
+RouteDecision continueRoute(const ServiceTable &table, LeaseMode mode,
+                            const ForwardedPacket &packet) {
+  if (const DropReason reason = refusalOf(mode); reason != DropReason::None)
+    return drop(reason);
+  if (packet.HopCount >= MaxHops)
+    return drop(DropReason::HopLimit);
+  RouteDecision out;
+  out.Target = table.find(packet.Service);
+  if (out.Target == nullptr)
+    return drop(DropReason::UnknownService);
+  out.Bucket = packet.Bucket % BucketCount;
+  const std::uint8_t flags = packet.Packet.Flags;
+  const bool isSameRanking = out.Target->changed() <= packet.TableRevision &&
+                             packet.TableRevision <= table.revision();
+
+  if (packet.Kind == ForwardKind::Probe) {
+    // The caller repeats the first packet, which is then probed with the
+    // present ranking.
+    const std::size_t next = packet.FirstRank + packet.Chain.size();
+    if (!isSameRanking || next >= out.Target->trustedCount())
+      return drop(DropReason::NoMember);
+    out.Kind = ForwardKind::Probe;
+    out.Prober = packet.Prober;
+    walk(out, next, flags | PacketFlag::First);
+  } else if (packet.Kind == ForwardKind::Token || !isSameRanking) {
+    out.HopCount = packet.HopCount + 1;
+    walk(out, 0, flags);
+    return out;
+  } else {
+    walk(out, packet.FirstRank + packet.Chain.size(), flags);
+    if (out.Action == RouteAction::Reset && packet.SkippedSuspect)
+      return drop(DropReason::NoMember);
+  }
+  // A walk to higher ranks ends by itself. Only hops that do not belong to it
+  // count, or rankings longer than MaxHops could not be walked to their end.
+  const auto walked = static_cast<std::uint8_t>(packet.Chain.size());
+  const auto hops = static_cast<std::uint8_t>(packet.HopCount + 1);
+  out.HopCount = static_cast<std::uint8_t>(hops - std::min(hops, walked));
+  return out;
+}
+
+ForwardedPacket makeForwarded(const RouteDecision &decision,
+                              CallerPacket packet, const Endpoint &origin,
+                              Revision tableRevision) {
+  ForwardedPacket out;
+  out.Packet = std::move(packet);
+  out.Service =
+      decision.Target != nullptr ? decision.Target->id() : ServiceId{};
+  out.Bucket = decision.Bucket;
+  out.Kind = decision.Kind;
+  out.HopCount = decision.HopCount;
+  out.FirstRank = decision.FirstRank;
+  out.ChainIndex = decision.ChainIndex;
+  out.EndsRanking = decision.EndsRanking;
+  out.SkippedSuspect = decision.SkippedSuspect;
+  out.OriginBalancer = origin;
+  out.TableRevision = tableRevision;
+  out.Chain.assign(decision.Chain.begin(),
+                   decision.Chain.begin() + decision.ChainLength);
+  out.Prober = decision.Prober;
+  return out;
+}
+
+} // namespace pistachio
--- a/Source/Core/Routing/Routing.h
+++ b/Source/Core/Routing/Routing.h
@@ -34,14 +34,31 @@
   CandidateState State = CandidateState::Accepting;
 };
 
-/// The members of one service, immutable once built.
+/// The members of one service, immutable once built. The ranking of a bucket
+/// orders the members by rankWeight, suspect ones after all others: the ranking
+/// of a first packet is its part before the suspect members.
 class Service {
 public:
-  Service(ServiceId id, std::string name, std::vector<ServiceMember> members);
+  /// Members beyond the first 65,535 (by id) are left out. \p changed is the
+  /// revision that led to these members.
+  Service(ServiceId id, std::string name, Endpoint address,
+          std::vector<ServiceMember> members, Revision changed = {});
+
+  /// As above; reuses the chains of \p previous, of the same service, if few
+  /// members differ.
+  Service(const Service &previous, std::string name, Endpoint address,
+          std::vector<ServiceMember> members, Revision changed);
 
   ServiceId id() const { return Id; }
   const std::string &name() const { return Name; }
+  const Endpoint &address() const { return Address; }
   std::span<const ServiceMember> members() const { return Members; }
+  /// Members that are not suspect.
+  std::size_t trustedCount() const { return Trusted; }
+  /// Rankings of packets routed at this revision or later are those of this
+  /// object.
+  Revision changed() const { return Changed; }
+  std::size_t memoryBytes() const;
 
   /// Writes the members of ranks \p firstRank and following into \p out and
   /// returns their count, which is below out.size() only at the end of the
@@ -54,13 +71,20 @@
   std::optional<std::size_t> find(UpstreamId id) const;
 
 private:
+  std::uint64_t weight(std::uint16_t bucket, std::size_t index) const;
+  void computeChain(std::uint16_t bucket, std::span<std::uint16_t> out) const;
+  bool updateChains(const Service &previous);
+
   ServiceId Id;
-  std::string Name;
+  Endpoint Address;
+  Revision Changed;
+  std::size_t Trusted = 0;
   /// Sorted by id.
   std::vector<ServiceMember> Members;
   /// MaxChain indices for each bucket; empty for services of at most
   /// MaxDirectMembers members.
   std::vector<std::uint16_t> Precomputed;
+  std::string Name;
 };
 
 /// An immutable table of all services. A change makes a new table that shares
@@ -121,7 +145,8 @@
 struct NodeLeaseOptions {
   /// Without a renewal for this long the lease is over.
   Duration Validity{3000};
-  /// Time that peers have to answer after the lease is over.
+  /// Peers are asked from this long before the end of the lease, so that their
+  /// answers are here when it ends and no packet is sent without a decision.
   Duration PeerAnswerTime{500};
   /// How long an answer of a peer counts.
   Duration PeerAnswerValidity{3000};
@@ -137,7 +162,9 @@
   /// whose Committed is above \p have renews nothing: the table is behind.
   void onGrant(const LeaseGrant &grant, TimePoint sentAt, Revision have);
   /// \p isOtherDataCentre tells where the peer stands; only peers of other data
-  /// centres count as evidence that control is down.
+  /// centres count as evidence that control is down. An answer with a revision
+  /// above \p have renews and proves nothing: the table is behind. The same
+  /// holds for a peer that has no table yet.
   void onPeerAnswer(const PeerLeaseAnswer &answer, bool isOtherDataCentre,
                     TimePoint sentAt, Revision have);
 
@@ -196,6 +223,10 @@
   std::array<Candidate, MaxChain> Chain;
   /// For Refuse, in milliseconds.
   std::uint32_t RetryAfterMs = 0;
+  /// Agents that the packet has passed, for the hop limit.
+  std::uint8_t HopCount = 0;
+  /// Kind Probe only.
+  Candidate Prober;
 };
 
 /// What the decision needs of a packet; the payload is not looked at.
@@ -214,13 +245,15 @@
 
 /// Routes a packet whose chain has been walked to its end: the next ranks, or
 /// Reset for an Established packet that nobody knows, or Drop while a suspect
-/// member could not be asked.
+/// member could not be asked. If the members of the service have changed since
+/// the packet was routed, the walk starts again at rank 0, because a member may
+/// have moved to a rank that was passed already.
 RouteDecision continueRoute(const ServiceTable &table, LeaseMode mode,
                             const ForwardedPacket &packet);
 
 /// The message for a decision of kind Forward. Takes the packet's payload.
 ForwardedPacket makeForwarded(const RouteDecision &decision,
                               CallerPacket packet, const Endpoint &origin,
-                              Revision tableRevision, std::uint8_t hopCount);
+                              Revision tableRevision);
 
 } // namespace pistachio
--- /dev/null
+++ b/Source/Core/Routing/TableFollower.cpp
@@ -0,0 +1,400 @@
+#include "Routing/Routing.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <map>
+
+namespace pistachio {
+namespace {
+
+using ServicePtr = std::shared_ptr<const Service>;
+
+/// A new table copies the shard pointers and one shard, so both are kept near
+/// the square root of the number of services at the target scale.
+constexpr std::size_t ShardCount = 512;
+
+/// A whole table at the target scale has about 50 parts.
+constexpr std::uint32_t MaxParts = 4096;
+
+std::size_t shardOf(std::uint64_t key) { return mix64(key + 1) % ShardCount; }
+
+std::uint64_t keyOf(const Endpoint &address) {
+  return (std::uint64_t{address.Address} << 16) | address.Port;
+}
+std::uint64_t keyOf(ServiceId id) { return id.Value; }
+
+/// An immutable map in shards. A change copies the shards that it touches.
+template <typename Key> class ShardedMap {
+public:
+  const Service *find(const Key &key) const {
+    const auto &shard = Shards[shardOf(keyOf(key))];
+    if (!shard)
+      return nullptr;
+    const auto it = shard->find(key);
+    return it == shard->end() ? nullptr : it->second.get();
+  }
+
+  ServicePtr share(const Key &key) const {
+    const auto &shard = Shards[shardOf(keyOf(key))];
+    if (!shard)
+      return nullptr;
+    const auto it = shard->find(key);
+    return it == shard->end() ? nullptr : it->second;
+  }
+
+  std::size_t memoryBytes() const {
+    std::size_t n = sizeof(Shards);
+    for (const auto &it : Shards) {
+      if (it)
+        n += sizeof(Shard) +
+             (it->capacity() * (sizeof(typename Shard::value_type) + 1));
+    }
+    return n;
+  }
+
+  template <typename Visitor> void forEach(Visitor visit) const {
+    for (const auto &shard : Shards) {
+      if (!shard)
+        continue;
+      for (const auto &[key, value] : *shard)
+        visit(*value);
+    }
+  }
+
+private:
+  using Shard = absl::flat_hash_map<Key, ServicePtr, std::hash<Key>>;
+  template <typename> friend class ShardedMapEditor;
+  std::array<std::shared_ptr<const Shard>, ShardCount> Shards;
+};
+
+/// Edits a map that no reader has seen yet. Shards are copied once.
+template <typename Key> class ShardedMapEditor {
+public:
+  explicit ShardedMapEditor(ShardedMap<Key> &map) : Map(map) {}
+
+  void set(const Key &key, ServicePtr value) {
+    shard(key)[key] = std::move(value);
+  }
+  void erase(const Key &key) { shard(key).erase(key); }
+
+private:
+  using Shard = typename ShardedMap<Key>::Shard;
+
+  Shard &shard(const Key &key) {
+    const std::size_t n = shardOf(keyOf(key));
+    auto &own = Own[n];
+    if (own == nullptr) {
+      auto copy = Map.Shards[n] ? std::make_shared<Shard>(*Map.Shards[n])
+                                : std::make_shared<Shard>();
+      own = copy.get();
+      Map.Shards[n] = std::move(copy);
+    }
+    return *own;
+  }
+
+  ShardedMap<Key> &Map;
+  std::array<Shard *, ShardCount> Own{};
+};
+
+using BalancerList = std::vector<BalancerRecord>;
+
+class Snapshot final : public ServiceTable {
+public:
+  Revision revision() const override { return At; }
+  const Service *findByAddress(const Endpoint &address) const override {
+    return ByAddress.find(address);
+  }
+  const Service *find(ServiceId id) const override { return ById.find(id); }
+  std::span<const BalancerRecord> balancers() const override {
+    return *Balancers;
+  }
+  std::size_t serviceCount() const override { return Services; }
+  std::size_t upstreamCount() const override { return Upstreams; }
+  std::size_t memoryBytes() const override {
+    std::size_t n = sizeof(Snapshot) + ById.memoryBytes() +
+                    ByAddress.memoryBytes() +
+                    (Balancers->capacity() * sizeof(BalancerRecord));
+    ById.forEach([&n](const Service &it) { n += it.memoryBytes(); });
+    return n;
+  }
+
+  Revision At;
+  ShardedMap<ServiceId> ById;
+  ShardedMap<Endpoint> ByAddress;
+  std::shared_ptr<const BalancerList> Balancers =
+      std::make_shared<BalancerList>();
+  std::size_t Services = 0;
+  /// Members of all services.
+  std::size_t Upstreams = 0;
+};
+
+CandidateState toCandidateState(UpstreamState state) {
+  switch (state) {
+  case UpstreamState::Draining:
+    return CandidateState::Draining;
+  case UpstreamState::Suspect:
+    return CandidateState::Suspect;
+  case UpstreamState::Active:
+    break;
+  }
+  return CandidateState::Accepting;
+}
+
+bool isSame(const ServiceMember &a, const ServiceMember &b) {
+  return a.Id == b.Id && a.Run == b.Run && a.Address == b.Address &&
+         a.State == b.State;
+}
+
+/// What makes parts belong together.
+struct UpdateKey {
+  Revision From;
+  Revision To;
+  bool Reset = false;
+  std::uint32_t Parts = 0;
+  friend bool operator==(const UpdateKey &, const UpdateKey &) = default;
+};
+
+} // namespace
+
+class TableFollower::State {
+public:
+  absl::StatusOr<bool> apply(const TableUpdate &update);
+  ServiceTablePtr table() const { return Table; }
+  void restart() { Collected.clear(); }
+
+private:
+  struct UpstreamEntry {
+    ServiceId Service;
+    DataCentreId DataCentre;
+    UpstreamState State = UpstreamState::Active;
+    ServiceMember Member;
+  };
+  struct ServiceEntry {
+    ServiceRecord Record;
+    std::vector<UpstreamId> Upstreams;
+  };
+
+  void clear();
+  void applyPart(const TableUpdate &update);
+  void setUpstream(const UpstreamRecord &record);
+  void removeUpstream(UpstreamId id);
+  void setDataCentre(const DataCentreRecord &record);
+  void touchDataCentre(DataCentreId id);
+  void publish(Revision to);
+  std::vector<ServiceMember> membersOf(const ServiceEntry &service) const;
+
+  std::shared_ptr<const Snapshot> Table = std::make_shared<Snapshot>();
+
+  UpdateKey Key;
+  std::map<std::uint32_t, TableUpdate> Collected;
+
+  // All records, including upstreams of data centres that are out and of
+  // services that are not known.
+  absl::flat_hash_map<ServiceId, ServiceEntry, std::hash<ServiceId>> Services;
+  absl::flat_hash_map<UpstreamId, UpstreamEntry, std::hash<UpstreamId>>
+      Upstreams;
+  absl::flat_hash_map<DataCentreId, bool, std::hash<DataCentreId>> IsOut;
+  std::map<std::string, BalancerRecord> Balancers;
+
+  /// Services whose object has to be built again.
+  absl::flat_hash_set<ServiceId, std::hash<ServiceId>> Touched;
+  bool AreBalancersTouched = false;
+};
+
+void TableFollower::State::clear() {
+  for (const auto &[id, entry] : Services)
+    Touched.insert(id);
+  Services.clear();
+  Upstreams.clear();
+  IsOut.clear();
+  Balancers.clear();
+  AreBalancersTouched = true;
+}
+
+void TableFollower::State::removeUpstream(UpstreamId id) {
+  const auto it = Upstreams.find(id);
+  if (it == Upstreams.end())
+    return;
+  const ServiceId service = it->second.Service;
+  std::erase(Services[service].Upstreams, id);
+  Touched.insert(service);
+  Upstreams.erase(it);
+}
+
+void TableFollower::State::setUpstream(const UpstreamRecord &record) {
+  const auto it = Upstreams.find(record.Id);
+  if (it != Upstreams.end() && it->second.Service != record.Service)
+    removeUpstream(record.Id);
+  const auto [entry, isNew] = Upstreams.try_emplace(record.Id);
+  entry->second = {
+      record.Service,
+      record.DataCentre,
+      record.State,
+      {record.Id, record.Run, record.Address, toCandidateState(record.State)}};
+  if (isNew)
+    Services[record.Service].Upstreams.push_back(record.Id);
+  Touched.insert(record.Service);
+}
+
+void TableFollower::State::touchDataCentre(DataCentreId id) {
+  for (const auto &[upstream, entry] : Upstreams) {
+    if (entry.DataCentre == id)
+      Touched.insert(entry.Service);
+  }
+}
+
+void TableFollower::State::setDataCentre(const DataCentreRecord &record) {
+  bool &isOut = IsOut[record.Id];
+  if (isOut != record.Out)
+    touchDataCentre(record.Id);
+  isOut = record.Out;
+}
+
+void TableFollower::State::applyPart(const TableUpdate &update) {
+  for (const ServiceId it : update.RemovedServices) {
+    // The entry stays while upstreams name it; without an id its record is that
+    // of an unknown service.
+    Services[it].Record = {};
+    Touched.insert(it);
+  }
+  for (const UpstreamId it : update.RemovedUpstreams)
+    removeUpstream(it);
+  for (const DataCentreId it : update.RemovedDataCentres) {
+    setDataCentre({it, "", false});
+    IsOut.erase(it);
+  }
+  for (const std::string &it : update.RemovedBalancers)
+    Balancers.erase(it);
+  for (const ServiceRecord &it : update.Services) {
+    Services[it.Id].Record = it;
+    Touched.insert(it.Id);
+  }
+  for (const DataCentreRecord &it : update.DataCentres)
+    setDataCentre(it);
+  for (const UpstreamRecord &it : update.Upstreams)
+    setUpstream(it);
+  for (const BalancerRecord &it : update.Balancers)
+    Balancers[it.Name] = it;
+  AreBalancersTouched = AreBalancersTouched || !update.Balancers.empty() ||
+                        !update.RemovedBalancers.empty();
+}
+
+std::vector<ServiceMember>
+TableFollower::State::membersOf(const ServiceEntry &service) const {
+  std::vector<ServiceMember> out;
+  out.reserve(service.Upstreams.size());
+  for (const UpstreamId id : service.Upstreams) {
+    const UpstreamEntry &it = Upstreams.at(id);
+    const auto dataCentre = IsOut.find(it.DataCentre);
+    if (dataCentre == IsOut.end() || !dataCentre->second)
+      out.push_back(it.Member);
+  }
+  std::ranges::sort(out, {}, &ServiceMember::Id);
+  return out;
+}
+
+void TableFollower::State::publish(Revision to) {
+  auto next = std::make_shared<Snapshot>(*Table);
+  next->At = to;
+  ShardedMapEditor<ServiceId> byId(next->ById);
+  ShardedMapEditor<Endpoint> byAddress(next->ByAddress);
+
+  // Addresses may move from one service to another within one update, so all
+  // former ones are erased before the first is set.
+  std::vector<ServicePtr> built;
+  for (const ServiceId id : Touched) {
+    const ServicePtr former = Table->ById.share(id);
+    const auto it = Services.find(id);
+    const bool exists = it != Services.end() && it->second.Record.Id == id;
+    if (former) {
+      --next->Services;
+      next->Upstreams -= former->members().size();
+      byAddress.erase(former->address());
+    }
+    if (!exists) {
+      if (former)
+        byId.erase(id);
+      if (it != Services.end() && it->second.Upstreams.empty())
+        Services.erase(it);
+      continue;
+    }
+    const ServiceRecord &record = it->second.Record;
+    std::vector<ServiceMember> members = membersOf(it->second);
+    if (!former) {
+      built.push_back(std::make_shared<Service>(id, record.Name, record.Address,
+                                                std::move(members), to));
+    } else if (former->name() == record.Name &&
+               former->address() == record.Address &&
+               std::ranges::equal(former->members(), members, isSame)) {
+      built.push_back(former);
+    } else {
+      built.push_back(std::make_shared<Service>(
+          *former, record.Name, record.Address, std::move(members), to));
+    }
+  }
+  for (ServicePtr &it : built) {
+    ++next->Services;
+    next->Upstreams += it->members().size();
+    byAddress.set(it->address(), it);
+    byId.set(it->id(), std::move(it));
+  }
+  Touched.clear();
+
+  if (AreBalancersTouched) {
+    auto list = std::make_shared<BalancerList>();
+    list->reserve(Balancers.size());
+    for (const auto &[name, record] : Balancers)
+      list->push_back(record);
+    next->Balancers = std::move(list);
+    AreBalancersTouched = false;
+  }
+  Table = std::move(next);
+}
+
+absl::StatusOr<bool> TableFollower::State::apply(const TableUpdate &update) {
+  if (update.Parts == 0 || update.Parts > MaxParts ||
+      update.Part >= update.Parts)
+    return absl::InvalidArgumentError(
+        absl::StrCat("table update has part ", update.Part, " of ",
+                     update.Parts, ", expected at most ", MaxParts, " parts"));
+  if (update.To <= Table->revision())
+    return false;
+  if (!update.Reset && update.From != Table->revision()) {
+    Collected.clear();
+    return absl::FailedPreconditionError(
+        absl::StrCat("table update starts at revision ", update.From.Value,
+                     ", the table is at revision ", Table->revision().Value));
+  }
+  const UpdateKey key{update.From, update.To, update.Reset, update.Parts};
+  if (!(key == Key)) {
+    Collected.clear();
+    Key = key;
+  }
+  Collected.insert_or_assign(update.Part, update);
+  if (Collected.size() < update.Parts)
+    return false;
+
+  if (update.Reset)
+    clear();
+  for (const auto &[part, it] : Collected)
+    applyPart(it);
+  Collected.clear();
+  publish(update.To);
+  return true;
+}
+
+TableFollower::TableFollower() : Current(std::make_unique<State>()) {}
+TableFollower::~TableFollower() = default;
+
+absl::StatusOr<bool> TableFollower::apply(const TableUpdate &update) {
+  return Current->apply(update);
+}
+
+ServiceTablePtr TableFollower::table() const { return Current->table(); }
+
+void TableFollower::restart() { Current->restart(); }
+
+} // namespace pistachio
