--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 #include <memory>
-#include <span>
+#include <optional>
 #include <vector>
 
 namespace pistachio {
@@ -52,22 +52,30 @@
   /// limit.
   void restart(TimePoint now);
 
+  /// At least 1 and at most the announced slots.
   std::uint32_t limit() const;
   std::uint32_t inFlight() const { return InFlight; }
   /// Time after which a refused request may find a slot.
   Duration retryAfter() const;
 
 private:
+  void decrease(TimePoint now);
+  /// Lowest latency of this window and the one before.
+  Duration learnFloor(Duration latency, TimePoint now);
+
   AdmissionOptions Options;
   double Limit;
   std::uint32_t InFlight = 0;
+  /// Zero while nothing has been measured.
   Duration Floor{0};
-  TimePoint FloorSince{};
-  TimePoint LastDecrease{};
+  Duration FormerFloor{0};
+  std::optional<TimePoint> FloorSince;
+  std::optional<TimePoint> LastDecrease;
   Duration RecentLatency{0};
 };
 
 struct PlacementOptions {
+  /// None until control has answered the first announcement.
   ServiceId Service;
   UpstreamId Upstream;
   Incarnation Run;
@@ -77,6 +85,14 @@
   /// How long a caller repeats a first packet (30 s), and the longest lease of
   /// a balancer (10 s).
   Duration FirstPacketWindow{40000};
+  /// Without an answer of control for this long, balancers may take this
+  /// upstream for suspect (after 3 s) and let others accept its flows, so it
+  /// probes like a new member.
+  Duration AnnounceGap{2500};
+  /// How long the load that another agent reported counts.
+  Duration LoadValidity{5000};
+  /// Least time between two reports of the own load to the same agent.
+  Duration LoadReportInterval{1000};
   /// A flow without any packet for this long is closed. Callers send a
   /// keep-alive every 5 s.
   Duration IdleTimeout{60000};
@@ -135,8 +151,9 @@
                              PlacementOutput &output) = 0;
   virtual void onLoadReport(const LoadReport &report, TimePoint now) = 0;
 
-  /// State that control gives this upstream. An upstream id other than the
-  /// present one (after a removal) starts a new membership: flows are kept.
+  /// State that control gives this upstream, for every answer to an
+  /// announcement: time without any is evidence too. An upstream id other than
+  /// the present one (after a removal) starts a new membership: flows are kept.
   virtual void onAnnounceReply(const AnnounceReply &reply, TimePoint now,
                                PlacementOutput &output) = 0;
 
@@ -144,7 +161,8 @@
   /// end.
   virtual void beginDrain(TimePoint now) = 0;
 
-  /// Closes idle flows and forgets old hand-overs. Called about once a second.
+  /// Closes idle flows and forgets old hand-overs, and ends a planned stop once
+  /// no flow is left. Called about once a second.
   virtual void tick(TimePoint now, PlacementOutput &output) = 0;
 
   /// The answer to the caller of a flow held here: kind Data with this agent's
@@ -158,6 +176,10 @@
 
   virtual Lifecycle lifecycle() const = 0;
   virtual std::size_t flowCount() const = 0;
+  /// Bytes of the flow table and of the hand-over memory, for the capacity
+  /// page.
+  virtual std::size_t flowTableBytes() const = 0;
+  virtual std::size_t handOverBytes() const = 0;
   virtual PlacementCounters counters() const = 0;
 };
 
