--- a/Source/Core/Session/Session.h
+++ b/Source/Core/Session/Session.h
@@ -129,12 +129,25 @@
 };
 
 struct RequestRecordsOptions {
+  /// The agent's incarnation, as in the tokens of its answers. Requests that
+  /// were opened with another one are not run.
+  Incarnation Run;
+  /// Requests beyond this are refused. Refusals themselves are remembered up to
+  /// twice this number; beyond that, packets are dropped without an answer,
+  /// because a refusal that is forgotten may turn out false.
   std::size_t MaxRecords = 20000;
-  /// Bytes of bodies, both ways, that are held at the most.
+  /// Bytes of bodies, both ways, that are held at the most. Incoming requests
+  /// may use half of it.
   std::size_t MaxContentBytes = 64 * 1024 * 1024;
+  /// Requests that wait for a slot at the most.
+  std::size_t MaxQueued = 64;
   /// A record is kept this long after its last packet; callers retry no longer
   /// than that.
   Duration RecordLifetime{900000};
+  /// When the table is full, finished records may go this long after the caller
+  /// acknowledged the answer or its deadline passed: only packets that are
+  /// still under way can ask for them then.
+  Duration LatePacketLifetime{30000};
   /// Unacknowledged segments of an answer that are under way at the same time.
   std::uint32_t AnswerWindow = 16;
   Duration RetransmitMin{100};
@@ -161,6 +174,8 @@
   virtual void receive(const SessionKey &flow,
                        std::span<const std::byte> payload, TimePoint now,
                        RequestRecordsOutput &output) = 0;
+  /// The slot must have been given back before this call and the two below, so
+  /// that the next waiting request finds it.
   virtual void onBackEndAnswer(RequestId request, std::uint16_t status,
                                Bytes body, TimePoint now,
                                RequestRecordsOutput &output) = 0;
--- a/Source/Core/Wire/SessionMessages.cpp
+++ b/Source/Core/Wire/SessionMessages.cpp
@@ -21,11 +21,14 @@
   field(archive, it.Offset);
   field(archive, it.Checksum);
   bytes(archive, it.Content, SegmentBytes);
+  field(archive, it.Run);
+  field(archive, it.Attempt);
 }
 
 template <typename Archive> void fields(Archive &archive, SegmentAck &it) {
   field(archive, it.Request);
   field(archive, it.Received);
+  field(archive, it.Attempt);
 }
 
 template <typename Archive> void fields(Archive &archive, AnswerSegment &it) {
@@ -47,6 +50,7 @@
   field(archive, it.Request);
   field(archive, it.Reason);
   field(archive, it.RetryAfterMs);
+  field(archive, it.Attempt);
 }
 
 template <typename Archive> void fields(Archive &archive, OutcomeUnknown &it) {
@@ -54,6 +58,8 @@
 }
 template <typename Archive> void fields(Archive &archive, CancelRequest &it) {
   field(archive, it.Request);
+  field(archive, it.Run);
+  field(archive, it.Attempt);
 }
 template <typename Archive> void fields(Archive &archive, KeepAlive &it) {
   field(archive, it.Sequence);
--- a/Source/Core/Wire/SessionMessages.h
+++ b/Source/Core/Wire/SessionMessages.h
@@ -33,6 +33,14 @@
   /// Checksum of the whole body (checksum32).
   std::uint32_t Checksum = 0;
   Bytes Content;
+  /// Incarnation of the agent that accepted the flow. An agent of another
+  /// incarnation has no records of the flow's requests, so it must not run
+  /// them.
+  Incarnation Run;
+  /// Counts from 0. A refused attempt never runs; the caller asks again with
+  /// the next one, so that late segments and refusals of an earlier attempt are
+  /// recognised.
+  std::uint32_t Attempt = 0;
   friend bool operator==(const RequestSegment &,
                          const RequestSegment &) = default;
 };
@@ -41,6 +49,7 @@
 struct SegmentAck {
   RequestId Request;
   std::uint32_t Received = 0;
+  std::uint32_t Attempt = 0;
   friend bool operator==(const SegmentAck &, const SegmentAck &) = default;
 };
 
@@ -78,12 +87,13 @@
   Max = Invalid
 };
 
-/// Agent to caller: the request was not handed to the back end and never will
-/// be.
+/// Agent to caller: no attempt of the request up to Attempt was run, and none
+/// of them ever will be.
 struct NotRun {
   RequestId Request;
   RefusalReason Reason = RefusalReason::Overloaded;
   std::uint32_t RetryAfterMs = 0;
+  std::uint32_t Attempt = 0;
   friend bool operator==(const NotRun &, const NotRun &) = default;
 };
 
@@ -94,9 +104,11 @@
                          const OutcomeUnknown &) = default;
 };
 
-/// Caller to agent.
+/// Caller to agent. Run and Attempt as in RequestSegment.
 struct CancelRequest {
   RequestId Request;
+  Incarnation Run;
+  std::uint32_t Attempt = 0;
   friend bool operator==(const CancelRequest &,
                          const CancelRequest &) = default;
 };
--- /dev/null
+++ b/Source/UnitTests/Fakes/LedgerCheck.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Common/Common.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pistachio {
+
+enum class Reported : std::uint8_t { Answered, NotRun, Unknown };
+
+/// What a caller wrote down about one request.
+struct CallerEntry {
+  std::string Service;
+  bool Idempotent = false;
+  std::uint32_t RequestChecksum = 0;
+  int Results = 0;
+  Reported Result = Reported::Unknown;
+  std::uint32_t AnswerChecksum = 0;
+};
+
+/// What an upstream wrote down about one run of a request.
+struct RunEntry {
+  std::string Service;
+  std::uint32_t RequestChecksum = 0;
+  std::uint32_t AnswerChecksum = 0;
+};
+
+struct LedgerTotals {
+  std::size_t Requests = 0;
+  std::size_t Answered = 0;
+  std::size_t Refused = 0;
+  std::size_t Unknown = 0;
+  std::size_t Wrong = 0;
+  std::size_t Lost = 0;
+  std::size_t Doubled = 0;
+  /// One line for each breach.
+  std::vector<std::string> Breaches;
+  bool isClean() const { return Wrong == 0 && Lost == 0 && Doubled == 0; }
+};
+
+/// Compares the books of callers and upstreams. It sees nothing of the system
+/// in between.
+class LedgerCheck {
+public:
+  void addStart(const std::string &id, CallerEntry entry);
+  void addResult(const std::string &id, Reported result,
+                 std::uint32_t answerChecksum);
+  void addRun(const std::string &id, RunEntry entry);
+  /// Reads one JSON line of any ledger. False if it is malformed.
+  bool addLine(std::string_view line);
+  LedgerTotals totals() const;
+
+private:
+  std::map<std::string, CallerEntry> Started;
+  std::map<std::string, std::vector<RunEntry>> Runs;
+};
+
+} // namespace pistachio
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -58,13 +58,13 @@
 inline std::vector<SessionMessage> sampleSessionMessages() {
   const RequestId id{1, 2};
   return {RequestSegment{id, "POST", "/jobs/17", false, 5000, 3000, 1000,
-                         0xABCD, sampleBytes(SegmentBytes)},
-          SegmentAck{id, 2000},
+                         0xABCD, sampleBytes(SegmentBytes), Incarnation{9}, 2},
+          SegmentAck{id, 2000, 2},
           AnswerSegment{id, 200, 5000, 1000, 0x1234, sampleBytes(SegmentBytes)},
           AnswerAck{id, 5000, true},
-          NotRun{id, RefusalReason::RecordsFull, 100},
+          NotRun{id, RefusalReason::RecordsFull, 100, 2},
           OutcomeUnknown{id},
-          CancelRequest{id},
+          CancelRequest{id, Incarnation{9}, 2},
           KeepAlive{42}};
 }
 
