Add settings library and example deployments

Purpose: read each daemon's TOML settings and report all faults of a file with line and column; give both deployments a set of files to start from.

Ruled out: toml::parse_file, which does not bound the file; credentials only inside control.toml, since settings are often kept under version control (secret_file names a file beside it instead).

Changed: Settings.h gains DefaultAdminEndpoint and loadCredential(); Members holds this instance alone if the file names none. Port 0 is allowed where a process binds, 0.0.0.0 only where no other process is told the address.

--- a/Source/Core/Common/Text.h
+++ b/Source/Core/Common/Text.h
@@ -19,4 +19,8 @@
   return {status.message().data(), status.message().size()};
 }
 
+/// Names of services, data centres, teams and zones: lower-case letters, digits
+/// and hyphens, at most 63, starting with a letter.
+bool isName(std::string_view text);
+
 } // namespace pistachio
--- /dev/null
+++ b/Source/Core/Settings/Settings.cpp
@@ -0,0 +1,448 @@
+#include "Settings/Settings.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <string_view>
+#include <toml++/toml.h>
+#include <tuple>
+
+namespace pistachio {
+namespace {
+
+constexpr std::size_t MaxFileBytes = 1024 * 1024;
+constexpr std::size_t MinSecretBytes = 16;
+constexpr std::size_t MaxSecretBytes = 256;
+constexpr std::size_t MaxLabelBytes = 253;
+constexpr std::size_t MaxControlEndpoints = 64;
+/// One group has three or five members; a replacement is named beside them.
+constexpr std::size_t MaxMembers = 9;
+constexpr std::string_view LogLevels[] = {"debug", "info", "warning", "error"};
+
+std::optional<std::string> readFile(const std::string &path,
+                                    Findings &findings) {
+  std::ifstream file(path, std::ios::binary);
+  std::string text(MaxFileBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad() || (file.fail() && !file.eof())) {
+    findings.add({path, 0, 0, "the file cannot be read"});
+    return std::nullopt;
+  }
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > MaxFileBytes) {
+    findings.add({path, 0, 0,
+                  concat("the file is longer than ",
+                         std::to_string(MaxFileBytes), " bytes")});
+    return std::nullopt;
+  }
+  return text;
+}
+
+bool isSecret(std::string_view text) {
+  return text.size() >= MinSecretBytes && text.size() <= MaxSecretBytes &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7F; });
+}
+
+std::string secretMessage() {
+  return concat("a credential has ", std::to_string(MinSecretBytes), " to ",
+                std::to_string(MaxSecretBytes),
+                " printable ASCII characters without blanks");
+}
+
+bool isLabel(std::string_view text) {
+  return !text.empty() && text.size() <= MaxLabelBytes &&
+         std::ranges::all_of(text, [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                  (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
+         });
+}
+
+/// Collects the findings of one file.
+struct FileReport {
+  std::string File;
+  std::vector<Finding> Collected;
+
+  void add(const toml::source_region &region, std::string message) {
+    Collected.push_back(
+        {File, region.begin.line, region.begin.column, std::move(message)});
+  }
+};
+
+/// Whether an endpoint may leave a part to the system.
+enum class Binding { Exact, AnyPort, AnyAddressOrPort };
+
+/// Reads the keys of one table; finish() reports those that nothing asked for.
+class TableReader {
+public:
+  TableReader(const toml::table &table, std::string path, FileReport &report)
+      : Table(table), Path(std::move(path)), Report(report) {}
+
+  std::string name(std::string_view key) {
+    std::string text = string(key);
+    if (!text.empty() && !isName(text))
+      fail(key, concat("'", text,
+                       "' is not a name: lower-case letters, digits and "
+                       "hyphens, at most 63, starting with a letter"));
+    return text;
+  }
+
+  std::string label(std::string_view key) {
+    std::string text = string(key);
+    if (!text.empty() && !isLabel(text))
+      fail(key, concat("'", text,
+                       "' is not a name: letters, digits, '-', '.' and '_', at "
+                       "most 253"));
+    return text;
+  }
+
+  std::string string(std::string_view key) {
+    const toml::node *node = required(key);
+    if (node == nullptr)
+      return {};
+    const auto *text = node->as_string();
+    if (text == nullptr) {
+      fail(key, "a string is needed");
+      return {};
+    }
+    if (text->get().empty())
+      fail(key, "the string is empty");
+    return text->get();
+  }
+
+  Endpoint endpoint(std::string_view key, Binding binding) {
+    const toml::node *node = required(key);
+    return node == nullptr ? Endpoint{} : endpointOf(*node, key, binding);
+  }
+
+  std::vector<Endpoint> endpoints(std::string_view key) {
+    std::vector<Endpoint> items;
+    const toml::node *node = required(key);
+    if (node == nullptr)
+      return items;
+    const auto *array = node->as_array();
+    if (array == nullptr || array->empty() ||
+        array->size() > MaxControlEndpoints) {
+      fail(key, concat("an array of 1 to ", std::to_string(MaxControlEndpoints),
+                       " endpoints is needed"));
+      return items;
+    }
+    for (const toml::node &it : *array) {
+      const Endpoint endpoint = endpointOf(it, key, Binding::Exact);
+      if (endpoint != Endpoint{} && std::ranges::count(items, endpoint) > 0)
+        fail(it, key,
+             concat("'", toString(endpoint), "' is listed more than once"));
+      items.push_back(endpoint);
+    }
+    return items;
+  }
+
+  /// Leaves \p value as it is if the key is absent.
+  void number(std::string_view key, std::uint32_t min, std::uint32_t max,
+              std::uint32_t &value) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return;
+    const auto *number = node->as_integer();
+    if (number == nullptr || number->get() < min || number->get() > max) {
+      fail(key, concat("a whole number from ", std::to_string(min), " to ",
+                       std::to_string(max), " is needed"));
+      return;
+    }
+    value = static_cast<std::uint32_t>(number->get());
+  }
+
+  LogSettings log() {
+    LogSettings settings;
+    const toml::node *node = find("log");
+    if (node == nullptr)
+      return settings;
+    const toml::table *table = node->as_table();
+    if (table == nullptr) {
+      fail("log", "a table is needed");
+      return settings;
+    }
+    TableReader reader(*table, "log.", Report);
+    if (reader.has("level")) {
+      settings.Level = reader.string("level");
+      if (std::ranges::find(LogLevels, settings.Level) == std::end(LogLevels))
+        reader.fail("level", "one of debug, info, warning, error is needed");
+    }
+    reader.finish();
+    return settings;
+  }
+
+  /// Calls \p visit with a reader for each table of an array of tables, which
+  /// may be absent.
+  template <typename Visit>
+  void tables(std::string_view key, std::size_t max, Visit visit) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return;
+    const toml::array *array = node->as_array();
+    if (array == nullptr || array->size() > max) {
+      fail(key, concat("an array of at most ", std::to_string(max),
+                       " tables is needed"));
+      return;
+    }
+    for (const toml::node &it : *array) {
+      const toml::table *table = it.as_table();
+      if (table == nullptr) {
+        fail(it, key, "a table is needed");
+        continue;
+      }
+      TableReader reader(*table, concat(Path, key, "."), Report);
+      visit(reader);
+      reader.finish();
+    }
+  }
+
+  bool has(std::string_view key) const { return Table.contains(key); }
+
+  /// At the value of the key, or at the table if the key is absent.
+  void fail(std::string_view key, std::string_view message) {
+    const toml::node *node = Table.get(key);
+    fail(node == nullptr ? Table : *node, key, message);
+  }
+
+  void finish() {
+    for (const auto &[key, node] : Table)
+      if (!Known.contains(key.str()))
+        Report.add(key.source(), concat("unknown key '", Path, key.str(), "'"));
+  }
+
+private:
+  void fail(const toml::node &node, std::string_view key,
+            std::string_view message) {
+    Report.add(node.source(), concat(Path, key, ": ", message));
+  }
+
+  const toml::node *find(std::string_view key) {
+    Known.insert(std::string(key));
+    return Table.get(key);
+  }
+
+  const toml::node *required(std::string_view key) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      fail(key, "the key is missing");
+    return node;
+  }
+
+  Endpoint endpointOf(const toml::node &node, std::string_view key,
+                      Binding binding) {
+    const auto *text = node.as_string();
+    if (text == nullptr) {
+      fail(node, key, "a string A.B.C.D:PORT is needed");
+      return {};
+    }
+    const auto value = parseEndpoint(text->get(), binding != Binding::Exact);
+    if (!value.ok()) {
+      fail(node, key, messageOf(value.status()));
+      return {};
+    }
+    // Other processes are told this address, so it must be one that they can
+    // send to.
+    if (value->Address == 0 && binding != Binding::AnyAddressOrPort)
+      fail(node, key, "0.0.0.0 is not an address that others can reach");
+    return *value;
+  }
+
+  const toml::table &Table;
+  std::string Path;
+  FileReport &Report;
+  std::set<std::string, std::less<>> Known;
+};
+
+/// Reads the file and hands its root table to \p read.
+template <typename Settings, typename Read>
+std::optional<Settings> load(const std::string &path, Findings &findings,
+                             Read read) {
+  const auto text = readFile(path, findings);
+  if (!text)
+    return std::nullopt;
+  FileReport report{path, {}};
+  Settings settings;
+  try {
+    const toml::table table = toml::parse(*text, path);
+    TableReader reader(table, "", report);
+    read(reader, settings);
+    reader.finish();
+  } catch (const toml::parse_error &error) {
+    report.add(error.source(), std::string(error.description()));
+  }
+  std::ranges::stable_sort(report.Collected, {}, [](const Finding &it) {
+    return std::tuple(it.Line, it.Column);
+  });
+  for (Finding &it : report.Collected)
+    findings.add(std::move(it));
+  if (!report.Collected.empty())
+    return std::nullopt;
+  return settings;
+}
+
+void readMembers(TableReader &reader, ControlSettings &settings) {
+  reader.tables("members", MaxMembers, [&](TableReader &member) {
+    MemberSettings it{member.label("name"),
+                      member.endpoint("address", Binding::Exact)};
+    if (it.Name.empty() || it.Address == Endpoint{})
+      return;
+    if (std::ranges::count(settings.Members, it.Name, &MemberSettings::Name) >
+        0)
+      member.fail("name", concat("duplicate member '", it.Name, "'"));
+    if (std::ranges::count(settings.Members, it.Address,
+                           &MemberSettings::Address) > 0)
+      member.fail("address",
+                  concat("duplicate address '", toString(it.Address), "'"));
+    if (it.Name == settings.Name && it.Address != settings.Peers)
+      member.fail("address", "this member's address differs from 'peers'");
+    settings.Members.push_back(std::move(it));
+  });
+  if (!reader.has("members")) {
+    settings.Members.push_back({settings.Name, settings.Peers});
+    return;
+  }
+  if (!settings.Name.empty() &&
+      std::ranges::count(settings.Members, settings.Name,
+                         &MemberSettings::Name) == 0)
+    reader.fail("members",
+                concat("'", settings.Name, "', this instance, is not listed"));
+}
+
+std::string readSecret(TableReader &reader,
+                       const std::filesystem::path &folder) {
+  if (reader.has("secret") && reader.has("secret_file")) {
+    reader.fail("secret_file", "'secret' is set too; only one may be");
+    reader.string("secret");
+    reader.string("secret_file");
+    return {};
+  }
+  if (!reader.has("secret_file")) {
+    std::string secret = reader.string("secret");
+    if (!secret.empty() && !isSecret(secret))
+      reader.fail("secret", secretMessage());
+    return secret;
+  }
+  const std::string file = reader.string("secret_file");
+  Findings findings;
+  const auto secret = loadCredential((folder / file).string(), findings);
+  for (const Finding &it : findings.items())
+    reader.fail("secret_file", toString(it));
+  return secret.value_or("");
+}
+
+void readCredentials(TableReader &reader, const std::string &path,
+                     ControlSettings &settings) {
+  constexpr std::size_t MaxCredentials = 10'000;
+  const auto folder = std::filesystem::path(path).parent_path();
+  reader.tables("credentials", MaxCredentials, [&](TableReader &credential) {
+    CredentialSettings it{credential.name("team"),
+                          readSecret(credential, folder)};
+    if (it.Team.empty() || it.Secret.empty())
+      return;
+    if (std::ranges::count(settings.Credentials, it.Team,
+                           &CredentialSettings::Team) > 0)
+      credential.fail("team", concat("duplicate team '", it.Team, "'"));
+    // The secret alone tells the teams apart.
+    if (std::ranges::count(settings.Credentials, it.Secret,
+                           &CredentialSettings::Secret) > 0)
+      credential.fail("team", concat("team '", it.Team,
+                                     "' has the credential of another team"));
+    settings.Credentials.push_back(std::move(it));
+  });
+  if (!reader.has("credentials"))
+    reader.fail("credentials", "the key is missing");
+}
+
+} // namespace
+
+std::optional<BalancerSettings> loadBalancerSettings(const std::string &path,
+                                                     Findings &findings) {
+  constexpr std::uint32_t MaxWorkers = 64;
+  return load<BalancerSettings>(
+      path, findings, [](TableReader &reader, BalancerSettings &settings) {
+        settings.Name = reader.label("name");
+        settings.DataCentre = reader.name("data_centre");
+        settings.Listen = reader.endpoint("listen", Binding::AnyPort);
+        settings.Metrics =
+            reader.endpoint("metrics", Binding::AnyAddressOrPort);
+        settings.Control = reader.endpoints("control");
+        reader.number("workers", 1, MaxWorkers, settings.Workers);
+        settings.Log = reader.log();
+      });
+}
+
+std::optional<AgentSettings> loadAgentSettings(const std::string &path,
+                                               Findings &findings) {
+  constexpr std::uint32_t MaxSlots = 10'000;
+  constexpr std::uint32_t MaxFlows = 1'000'000;
+  constexpr std::uint32_t MaxDrainSeconds = 7 * 24 * 3600;
+  return load<AgentSettings>(
+      path, findings, [](TableReader &reader, AgentSettings &settings) {
+        settings.Service = reader.name("service");
+        settings.DataCentre = reader.name("data_centre");
+        settings.Zone = reader.name("zone");
+        settings.Machine = reader.label("machine");
+        settings.Listen = reader.endpoint("listen", Binding::AnyPort);
+        settings.Metrics =
+            reader.endpoint("metrics", Binding::AnyAddressOrPort);
+        settings.Control = reader.endpoints("control");
+        settings.BackEnd = reader.endpoint("back_end", Binding::Exact);
+        reader.number("slots", 1, MaxSlots, settings.Slots);
+        reader.number("max_flows", 1, MaxFlows, settings.MaxFlows);
+        reader.number("drain_seconds", 0, MaxDrainSeconds,
+                      settings.DrainSeconds);
+        settings.Log = reader.log();
+      });
+}
+
+std::optional<ControlSettings> loadControlSettings(const std::string &path,
+                                                   Findings &findings) {
+  constexpr std::uint32_t MinLeaseMs = 500;
+  constexpr std::uint32_t MaxLeaseMs = 60'000;
+  return load<ControlSettings>(
+      path, findings, [&path](TableReader &reader, ControlSettings &settings) {
+        settings.Name = reader.label("name");
+        settings.DataCentre = reader.name("data_centre");
+        settings.DataFolder = reader.string("data_folder");
+        settings.Nodes = reader.endpoint("nodes", Binding::AnyAddressOrPort);
+        settings.Peers = reader.endpoint("peers", Binding::Exact);
+        settings.Admin = DefaultAdminEndpoint;
+        if (reader.has("admin"))
+          settings.Admin = reader.endpoint("admin", Binding::AnyAddressOrPort);
+        settings.Metrics =
+            reader.endpoint("metrics", Binding::AnyAddressOrPort);
+        std::vector<Endpoint> seen;
+        const std::pair<std::string_view, Endpoint> bound[] = {
+            {"nodes", settings.Nodes},
+            {"peers", settings.Peers},
+            {"admin", settings.Admin},
+            {"metrics", settings.Metrics}};
+        for (const auto &[key, endpoint] : bound) {
+          if (endpoint.Port != 0 && std::ranges::count(seen, endpoint) > 0)
+            reader.fail(key, concat("'", toString(endpoint),
+                                    "' is used by another key"));
+          seen.push_back(endpoint);
+        }
+        readMembers(reader, settings);
+        readCredentials(reader, path, settings);
+        reader.number("lease_ms", MinLeaseMs, MaxLeaseMs, settings.LeaseMs);
+        settings.Log = reader.log();
+      });
+}
+
+std::optional<std::string> loadCredential(const std::string &path,
+                                          Findings &findings) {
+  auto text = readFile(path, findings);
+  if (!text)
+    return std::nullopt;
+  text->resize(std::min(text->find('\n'), text->size()));
+  if (text->ends_with('\r'))
+    text->pop_back();
+  if (isSecret(*text))
+    return text;
+  findings.add({path, 1, 1, secretMessage()});
+  return std::nullopt;
+}
+
+} // namespace pistachio
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -12,6 +12,9 @@
 
 namespace pistachio {
 
+/// 127.0.0.1:7003
+inline constexpr Endpoint DefaultAdminEndpoint{0x7F000001, 7003};
+
 struct LogSettings {
   /// debug, info, warning or error.
   std::string Level = "info";
@@ -57,6 +60,8 @@
 
 struct CredentialSettings {
   std::string Team;
+  /// 16 to 256 printable characters, from the file or from the file that
+  /// secret_file names.
   std::string Secret;
 };
 
@@ -69,20 +74,21 @@
   Endpoint Nodes;
   /// TCP endpoint for the other members.
   Endpoint Peers;
-  /// Administration API; loopback unless set.
+  /// Administration API; DefaultAdminEndpoint unless set.
   Endpoint Admin;
   Endpoint Metrics;
-  /// All members of the group, this one included; a single one by itself is a
-  /// group of one.
+  /// All members of the group, this one included. Only this one if the file
+  /// names none.
   std::vector<MemberSettings> Members;
   std::vector<CredentialSettings> Credentials;
   std::uint32_t LeaseMs = 3000;
   LogSettings Log;
 };
 
-/// Read and check a file. All faults (syntax, unknown keys, missing keys, wrong
-/// types, values out of range) are added to \p findings with their place;
-/// nothing is returned if there is any.
+/// Read and check a file of at most 1 MiB. All faults (unknown keys, missing
+/// keys, wrong types, values out of range) are added to \p findings with their
+/// place; nothing is returned if there is any. Of faults in the TOML syntax
+/// only the first is found.
 std::optional<BalancerSettings> loadBalancerSettings(const std::string &path,
                                                      Findings &findings);
 std::optional<AgentSettings> loadAgentSettings(const std::string &path,
@@ -90,4 +96,9 @@
 std::optional<ControlSettings> loadControlSettings(const std::string &path,
                                                    Findings &findings);
 
+/// A credential from the first line of a file, for example the one that
+/// secret_file names.
+std::optional<std::string> loadCredential(const std::string &path,
+                                          Findings &findings);
+
 } // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -0,0 +1,237 @@
+#include "Settings/Settings.h"
+
+#include "Rules/Rules.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace pistachio {
+namespace {
+
+std::string readAll(const std::string &path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  EXPECT_TRUE(file.good()) << path;
+  return text.str();
+}
+
+/// A folder of its own for each test and process, removed at the end.
+class TestFolder {
+public:
+  TestFolder() {
+    std::string name =
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::ranges::replace(name, '/', '-');
+    Path = concat(testing::TempDir(), "/settings-", name, "-",
+                  std::to_string(::getpid()));
+    std::filesystem::create_directories(Path);
+  }
+  ~TestFolder() { std::filesystem::remove_all(Path); }
+  TestFolder(const TestFolder &) = delete;
+  TestFolder &operator=(const TestFolder &) = delete;
+
+  std::string Path;
+};
+
+class ExampleTest : public testing::TestWithParam<const char *> {};
+
+// Guards against example files that a daemon would refuse.
+TEST_P(ExampleTest, Loads) {
+  const std::string folder = concat(PISTACHIO_EXAMPLES, "/", GetParam(), "/");
+  Findings findings;
+  const auto control = loadControlSettings(folder + "control.toml", findings);
+  const auto balancer =
+      loadBalancerSettings(folder + "balancer.toml", findings);
+  const auto rules =
+      RuleSet::parse(readAll(folder + "rules.txt"), "rules.txt", findings);
+  ASSERT_TRUE(control && balancer && rules) << findings.format();
+  EXPECT_EQ(rules->services().size(), 2U);
+  for (const ServiceRule &it : rules->services()) {
+    const auto agent =
+        loadAgentSettings(concat(folder, "agent-", it.Name, ".toml"), findings);
+    ASSERT_TRUE(agent) << findings.format();
+    EXPECT_EQ(agent->Service, it.Name);
+    EXPECT_EQ(agent->Slots, it.Slots);
+    EXPECT_EQ(agent->Control[0], control->Nodes);
+  }
+  EXPECT_EQ(balancer->Control[0], control->Nodes);
+  ASSERT_EQ(control->Members.size(), 1U);
+  EXPECT_EQ(control->Members[0].Address, control->Peers);
+  EXPECT_EQ(control->Credentials.size(), 2U);
+  EXPECT_EQ(control->Admin.Address, DefaultAdminEndpoint.Address);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ExampleTest,
+                         testing::Values("valukoda", "salasonora"));
+
+constexpr std::string_view Balancer = R"(name = "b1"
+data_centre = "dc-a"
+listen = "127.0.0.1:5000"
+metrics = "127.0.0.1:5001"
+control = ["127.0.0.1:5002"]
+)";
+constexpr std::string_view Agent = R"(service = "a"
+data_centre = "dc-a"
+zone = "z1"
+machine = "M1.example"
+listen = "127.0.0.1:5000"
+metrics = "0.0.0.0:0"
+control = ["127.0.0.1:5002", "127.0.0.1:5003"]
+back_end = "127.0.0.1:8080"
+)";
+constexpr std::string_view Control = R"(name = "c1"
+data_centre = "dc-a"
+data_folder = "data"
+nodes = "127.0.0.1:5002"
+peers = "127.0.0.1:5003"
+metrics = "127.0.0.1:5004"
+[[members]]
+name = "c1"
+address = "127.0.0.1:5003"
+[[credentials]]
+team = "operators"
+secret = "0123456789abcdef"
+)";
+
+struct SettingsCase {
+  std::string_view Name;
+  std::string_view Base;
+  /// Text to replace in the base; at the end of the file if empty.
+  std::string_view From;
+  std::string_view To;
+  /// "line:column: start of the message", separated by '|'; empty if valid.
+  std::string_view Expected;
+};
+
+class SettingsTest : public testing::TestWithParam<SettingsCase> {};
+
+// Guards against a fault that is accepted, loses its place or hides others.
+TEST_P(SettingsTest, ReportsPlace) {
+  const SettingsCase &it = GetParam();
+  std::string text(it.Base);
+  const std::size_t at = it.From.empty() ? text.size() : text.find(it.From);
+  ASSERT_NE(at, std::string::npos);
+  text.replace(at, it.From.size(), it.To);
+  const TestFolder folder;
+  const std::string path = folder.Path + "/s.toml";
+  std::ofstream(path) << text;
+  Findings findings;
+  bool loaded = false;
+  if (it.Base == Balancer)
+    loaded = loadBalancerSettings(path, findings).has_value();
+  else if (it.Base == Agent)
+    loaded = loadAgentSettings(path, findings).has_value();
+  else
+    loaded = loadControlSettings(path, findings).has_value();
+  EXPECT_EQ(loaded, it.Expected.empty());
+  std::string_view expected = it.Expected;
+  for (const Finding &finding : findings.items()) {
+    const std::string_view one = expected.substr(0, expected.find('|'));
+    EXPECT_EQ(toString(finding).substr(0, path.size() + 1 + one.size()),
+              concat(path, ":", one));
+    expected.remove_prefix(std::min(expected.size(), one.size() + 1));
+  }
+  EXPECT_EQ(expected, "") << "not reported";
+}
+
+const SettingsCase SettingsCases[] = {
+    {"Balancer", Balancer, "", "", ""},
+    {"Agent", Agent, "", "", ""},
+    {"Control", Control, "", "", ""},
+    {"Syntax", Balancer, "\"b1\"", "b1", "1:"},
+    {"UnknownKey", Balancer, "", "worker = 3\n", "6:1: unknown key 'worker'"},
+    {"UnknownLogKey", Balancer, "", "[log]\nlvl = 3\n",
+     "7:1: unknown key 'log.lvl'"},
+    {"MissingKey", Balancer, "name = \"b1\"\n", "",
+     "1:1: name: the key is missing"},
+    {"WrongType", Balancer, "\"b1\"", "1", "1:8: name: a string is needed"},
+    {"EmptyString", Balancer, "b1", "", "1:8: name: the string is empty"},
+    {"BadLabel", Balancer, "b1", "b 1", "1:8: name: 'b 1' is not a name"},
+    {"BadName", Balancer, "dc-a", "DC", "2:15: data_centre: 'DC' is not"},
+    {"BadEndpoint", Balancer, "127.0.0.1:5000", "localhost:5000",
+     "3:10: listen: 'localhost:5000' is not an IPv4 endpoint"},
+    {"WildcardListen", Balancer, "127.0.0.1:5000", "0.0.0.0:5000",
+     "3:10: listen: 0.0.0.0 is not an address"},
+    {"ListenAnyPort", Balancer, "127.0.0.1:5000", "127.0.0.1:0", ""},
+    {"ControlPortZero", Balancer, "127.0.0.1:5002", "127.0.0.1:0",
+     "5:12: control: '127.0.0.1:0'"},
+    {"ControlEmpty", Balancer, "\"127.0.0.1:5002\"", "",
+     "5:11: control: an array of 1 to 64"},
+    {"ControlTwice", Balancer, "[\"127.0.0.1:5002\"",
+     "[\"127.0.0.1:5002\", \"127.0.0.1:5002\"",
+     "5:30: control: '127.0.0.1:5002' is listed more"},
+    {"WorkersRange", Balancer, "", "workers = 0\n",
+     "6:11: workers: a whole number from 1 to 64"},
+    {"WorkersType", Balancer, "", "workers = 1.5\n", "6:11: workers: a whole"},
+    {"LogLevel", Balancer, "", "[log]\nlevel = \"loud\"\n",
+     "7:9: log.level: one of debug"},
+    {"LogType", Balancer, "", "log = 3\n", "6:7: log: a table is needed"},
+    {"AllFindings", Balancer, "data_centre = \"dc-a\"\n",
+     "workers = 99\nx = 1\n",
+     "1:1: data_centre: the key is missing|2:11: workers: a whole|"
+     "3:1: unknown key 'x'"},
+    {"SlotsRange", Agent, "", "slots = 10001\n", "9:9: slots: a whole"},
+    {"FlowsRange", Agent, "", "max_flows = 0\n", "9:13: max_flows: a whole"},
+    {"DrainRange", Agent, "", "drain_seconds = -1\n",
+     "9:17: drain_seconds: a whole"},
+    {"LeaseRange", Control, "[[members]]", "lease_ms = 10\n[[members]]",
+     "7:12: lease_ms: a whole number from 500"},
+    {"SameEndpoint", Control, "127.0.0.1:5004", "127.0.0.1:5002",
+     "6:11: metrics: '127.0.0.1:5002' is used by another key"},
+    {"PeersDiffer", Control, "peers = \"127.0.0.1:5003",
+     "peers = \"127.0.0.1:5005",
+     "9:11: members.address: this member's address differs"},
+    {"NotAMember", Control, "name = \"c1\"\naddress", "name = \"c2\"\naddress",
+     "7:1: members: 'c1', this instance, is not listed"},
+    {"DuplicateMember", Control, "[[credentials]]",
+     "[[members]]\nname = \"c1\"\naddress = \"127.0.0.1:5003\"\n"
+     "[[credentials]]",
+     "11:8: members.name: duplicate member 'c1'|"
+     "12:11: members.address: duplicate address"},
+    {"MemberWithoutAddress", Control, "address = \"127.0.0.1:5003\"\n", "",
+     "7:1: members.address: the key is missing|7:1: members: 'c1', this"},
+    {"NoCredentials", Control, "[[credentials]]\nteam = \"operators\"\nsecret",
+     "x", "1:1: credentials: the key|10:1: unknown key 'members.x'"},
+    {"ShortSecret", Control, "0123456789abcdef", "short",
+     "12:10: credentials.secret: a credential has 16 to 256"},
+    {"MissingSecretFile", Control, "secret = \"0123456789abcdef\"",
+     "secret_file = \"none\"", "12:15: credentials.secret_file: "},
+    {"TwoSecrets", Control, "", "secret_file = \"none\"\n",
+     "13:15: credentials.secret_file: 'secret' is set too"},
+    {"DuplicateTeam", Control, "",
+     "[[credentials]]\nteam = \"operators\"\nsecret = \"fedcba9876543210\"\n",
+     "14:8: credentials.team: duplicate team 'operators'"},
+    {"SharedSecret", Control, "",
+     "[[credentials]]\nteam = \"t\"\nsecret = \"0123456789abcdef\"\n",
+     "14:8: credentials.team: team 't' has the credential of another"},
+};
+
+INSTANTIATE_TEST_SUITE_P(All, SettingsTest, testing::ValuesIn(SettingsCases),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
+// Guards against a file that cannot be read being taken for an empty one.
+TEST(SettingsFileTest, ReportsUnreadableAndOverlongFiles) {
+  const TestFolder testFolder;
+  const std::string &folder = testFolder.Path;
+  Findings findings;
+  EXPECT_FALSE(loadAgentSettings(folder + "/none.toml", findings));
+  EXPECT_FALSE(loadAgentSettings(folder, findings));
+  std::ofstream(folder + "/long.toml") << std::string(1024 * 1024 + 1, '\n');
+  EXPECT_FALSE(loadAgentSettings(folder + "/long.toml", findings));
+  ASSERT_EQ(findings.items().size(), 3U);
+  EXPECT_EQ(findings.items()[0].Message, "the file cannot be read");
+  EXPECT_EQ(findings.items()[1].Message, "the file cannot be read");
+  EXPECT_EQ(findings.items()[2].Message,
+            "the file is longer than 1048576 bytes");
+}
+
+} // namespace
+} // namespace pistachio
