--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -28,10 +28,6 @@
          storage.hardState().Term == 0;
 }
 
-std::string textOf(const absl::Status &status) {
-  return {status.message().data(), status.message().size()};
-}
-
 } // namespace
 
 struct ControlDaemon::Metrics {
@@ -222,7 +218,7 @@
 void ControlDaemon::fail(absl::Status why) {
   if (!Outcome.ok())
     return;
-  logEvent(LogLevel::Error, "control_failed", textOf(why));
+  logEvent(LogLevel::Error, "control_failed", messageOf(why));
   Outcome = std::move(why);
   Context.stop();
 }
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -24,10 +24,6 @@
   return text + "and " + std::to_string(hidden) + " more lines\n";
 }
 
-std::string messageOf(const absl::Status &status) {
-  return {status.message().data(), status.message().size()};
-}
-
 class ControlStateImpl final : public ControlState {
 public:
   void apply(std::uint64_t index, const LogCommand &command) override {
--- a/Source/Core/Runtime/DaemonArguments.cpp
+++ b/Source/Core/Runtime/DaemonArguments.cpp
@@ -3,13 +3,15 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
+#include <deque>
 #include <iostream>
 
 namespace pistachio {
 
 DaemonArguments parseDaemonArguments(int argc, char **argv,
                                      const std::string &description,
-                                     const std::string &version) {
+                                     const std::string &version,
+                                     std::span<DaemonSwitch> extra) {
   DaemonArguments arguments;
   try {
     TCLAP::CmdLine line(description, ' ', version);
@@ -18,7 +20,12 @@
                                           true, "", "FILE", line);
     TCLAP::SwitchArg check("c", "check", "check the settings file and exit",
                            line);
+    std::deque<TCLAP::SwitchArg> switches;
+    for (const DaemonSwitch &it : extra)
+      switches.emplace_back("", it.Name, it.Description, line);
     line.parse(argc, argv);
+    for (std::size_t i = 0; i < extra.size(); ++i)
+      extra[i].IsSet = switches[i].getValue();
     arguments.SettingsPath = settings.getValue();
     arguments.CheckOnly = check.getValue();
   } catch (const TCLAP::ExitException &e) {
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -158,10 +158,18 @@
   bool CheckOnly = false;
 };
 
-/// Parses --settings FILE and --check, and handles --help and --version, which
-/// end the process. Wrong usage ends it with ExitCode::Usage.
+/// A switch that only one of the daemons has, without its dashes.
+struct DaemonSwitch {
+  std::string Name;
+  std::string Description;
+  bool IsSet = false;
+};
+
+/// Parses --settings FILE, --check and \p extra, and handles --help and
+/// --version, which end the process. Wrong usage ends it with ExitCode::Usage.
 DaemonArguments parseDaemonArguments(int argc, char **argv,
                                      const std::string &description,
-                                     const std::string &version);
+                                     const std::string &version,
+                                     std::span<DaemonSwitch> extra = {});
 
 } // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Control/ControlScript.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "Control/Control.h"
+#include "NodeTable.h"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pistachio {
+
+inline const std::string BaseRules =
+    "datacentre ee-north-a # asked by Maarja\n"
+    "datacentre ee-north-b # asked by Maarja\n"
+    "service workshop-api address 10.20.0.1:443 slots 5 # asked by Maarja\n"
+    "service intake-api address 10.20.0.2:443 slots 5 # asked by Maarja\n"
+    "team valukoda services workshop-api # asked by Maarja\n";
+
+inline Endpoint addressOf(std::uint16_t machine) {
+  return {0x7F000001, static_cast<std::uint16_t>(7000 + machine)};
+}
+
+inline ApplyRules makeApply(std::string id, Revision expected,
+                            std::string rules, std::string team = "operators",
+                            std::uint64_t atMs = 0) {
+  return {std::move(id), expected,         std::move(team),
+          "Maarja",      std::move(rules), atMs};
+}
+
+inline UpstreamJoined makeJoin(std::uint16_t machine, std::uint64_t run,
+                               std::string service = "workshop-api",
+                               std::string dataCentre = "ee-north-a") {
+  return {std::move(service), std::move(dataCentre), "zone-1", "machine-1",
+          addressOf(machine), Incarnation{run},      5};
+}
+
+/// A control state that commands are committed to, at rising indices.
+class ControlScript {
+public:
+  std::uint64_t commit(const LogCommand &command) {
+    Log.push_back(command);
+    State->apply(Log.size(), command);
+    return Log.size();
+  }
+  ApplyResult apply(const ApplyRules &command) {
+    commit(command);
+    return State->findResult(command.OperationId).value_or(ApplyResult{});
+  }
+  /// Replaces the rules as an operator who has read the present ones.
+  ApplyResult apply(const std::string &rules) {
+    return apply(makeApply("op-" + std::to_string(Log.size()),
+                           State->rulesRevision(), rules));
+  }
+
+  /// What a node holds that starts now.
+  NodeTable freshNode() const {
+    NodeTable node;
+    node.receiveAll(State->updatesSince(node.At));
+    return node;
+  }
+
+  std::unique_ptr<ControlState> State = makeControlState();
+  std::vector<LogCommand> Log;
+};
+
+/// Random commands, most of which fit the present state.
+class CommandSource {
+public:
+  explicit CommandSource(std::uint64_t seed) : Random(seed) {}
+
+  LogCommand next(const ControlState &state) {
+    const auto machine = static_cast<std::uint16_t>(pick(12));
+    switch (pick(8)) {
+    case 0:
+      return rules(state);
+    case 1:
+    case 2:
+    case 3:
+      return makeJoin(machine, ++Run, pick(2) ? "workshop-api" : "intake-api",
+                      pick(2) ? "ee-north-a" : "ee-north-b");
+    case 4:
+      if (const auto it = state.findUpstream(addressOf(machine)))
+        return UpstreamLeft{it->Record.Id, it->Record.Run};
+      return UpstreamLeft{UpstreamId{99}, Incarnation{1}};
+    case 5:
+      return BalancerJoined{"balancer-" + std::to_string(pick(3)),
+                            pick(2) ? "ee-north-a" : "ee-north-b",
+                            addressOf(machine)};
+    case 6:
+      return BalancerLeft{"balancer-" + std::to_string(pick(3))};
+    default:
+      if (const auto it = state.findUpstream(addressOf(machine)))
+        return UpstreamChanged{it->Record.Id, it->Record.Run,
+                               static_cast<UpstreamState>(pick(3))};
+      return UpstreamChanged{};
+    }
+  }
+
+  std::size_t pick(std::size_t n) { return Random() % n; }
+
+private:
+  LogCommand rules(const ControlState &state) {
+    std::string text = "datacentre ee-north-a # asked by Maarja\n";
+    if (pick(4))
+      text += "datacentre ee-north-b # asked by Maarja\n";
+    if (pick(3) == 0)
+      text += "out ee-north-a # asked by Maarja\n";
+    for (const char *name : {"workshop-api", "intake-api"}) {
+      if (pick(4))
+        text += std::string("service ") + name + " address 10.20.0." +
+                (name[0] == 'w' ? "1:" : "2:") + std::to_string(443 + pick(2)) +
+                " slots 5 # asked by Maarja\n";
+    }
+    text += "drain upstream " + std::to_string(1 + pick(20)) +
+            " # asked by Maarja\n";
+    // Now and then an operator who has read older rules.
+    const Revision expected =
+        pick(5) ? state.rulesRevision() : Revision{pick(4)};
+    ++Operation;
+    return makeApply("random-" + std::to_string(Operation), expected, text,
+                     "operators", Operation * 1000);
+  }
+
+  std::mt19937_64 Random;
+  std::uint64_t Run = 0;
+  std::uint64_t Operation = 0;
+};
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Control/NodeTable.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Wire/Wire.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pistachio {
+
+/// What a node holds, by the rules of TableUpdate: parts are applied together
+/// once all have arrived, and only towards a higher revision.
+class NodeTable {
+public:
+  /// Returns false for an update that does not start at this node's revision;
+  /// the node would subscribe again.
+  bool receive(const TableUpdate &update) {
+    if (update.To <= At)
+      return true;
+    if (!update.Reset && update.From != At)
+      return false;
+    if (!Parts.empty() && (Parts.begin()->second.To != update.To ||
+                           Parts.begin()->second.From != update.From))
+      Parts.clear();
+    Parts[update.Part] = update;
+    if (Parts.size() < update.Parts)
+      return true;
+    if (update.Reset)
+      clear();
+    for (const auto &[number, it] : Parts)
+      applyPart(it);
+    Parts.clear();
+    At = update.To;
+    return true;
+  }
+
+  bool receiveAll(const std::vector<TableUpdate> &updates) {
+    bool fits = true;
+    for (const TableUpdate &it : updates)
+      fits = receive(it) && fits;
+    return fits;
+  }
+
+  const UpstreamRecord *find(const Endpoint &address) const {
+    for (const auto &[id, it] : Upstreams) {
+      if (it.Address == address)
+        return &it;
+    }
+    return nullptr;
+  }
+
+  Revision At;
+  std::map<ServiceId, ServiceRecord> Services;
+  std::map<DataCentreId, DataCentreRecord> DataCentres;
+  std::map<UpstreamId, UpstreamRecord> Upstreams;
+  std::map<std::string, BalancerRecord> Balancers;
+
+  friend bool operator==(const NodeTable &a, const NodeTable &b) {
+    return a.At == b.At && a.Services == b.Services &&
+           a.DataCentres == b.DataCentres && a.Upstreams == b.Upstreams &&
+           a.Balancers == b.Balancers;
+  }
+
+private:
+  void clear() {
+    Services.clear();
+    DataCentres.clear();
+    Upstreams.clear();
+    Balancers.clear();
+  }
+
+  void applyPart(const TableUpdate &it) {
+    for (const auto &id : it.RemovedServices)
+      Services.erase(id);
+    for (const auto &id : it.RemovedDataCentres)
+      DataCentres.erase(id);
+    for (const auto &id : it.RemovedUpstreams)
+      Upstreams.erase(id);
+    for (const auto &name : it.RemovedBalancers)
+      Balancers.erase(name);
+    for (const auto &record : it.Services)
+      Services[record.Id] = record;
+    for (const auto &record : it.DataCentres)
+      DataCentres[record.Id] = record;
+    for (const auto &record : it.Upstreams)
+      Upstreams[record.Id] = record;
+    for (const auto &record : it.Balancers)
+      Balancers[record.Name] = record;
+  }
+
+  std::map<std::uint32_t, TableUpdate> Parts;
+};
+
+} // namespace pistachio
