--- /dev/null
+++ b/Source/Agent/AgentDaemon.cpp
@@ -0,0 +1,242 @@
+#include "AgentDaemon.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <variant>
+
+namespace pistachio {
+namespace {
+
+constexpr Duration AnnounceInterval{1000};
+constexpr Duration StepInterval{50};
+constexpr Duration PlacementTickInterval{1000};
+
+/// A control instance that has not answered for this long is left for the next
+/// one.
+constexpr Duration ControlTimeout{2500};
+
+/// Time for the last answers and the last announcement to leave the process.
+constexpr Duration LeaveTime{500};
+
+std::string_view resultName(AnnounceResult result) {
+  switch (result) {
+  case AnnounceResult::Accepted:
+    return "accepted";
+  case AnnounceResult::Draining:
+    return "draining";
+  case AnnounceResult::DataCentreOut:
+    return "data-centre-out";
+  case AnnounceResult::Rejected:
+    return "rejected";
+  case AnnounceResult::Unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+AgentDaemon::AgentDaemon(boost::asio::io_context &context,
+                         AgentSettings settings)
+    : Context(context), Settings(std::move(settings)), Run(makeIncarnation()),
+      Metrics(makeMetricsRegistry()),
+      Published(std::make_unique<AgentMetrics>(*Metrics, Settings.Service)) {}
+
+absl::Status AgentDaemon::start() {
+  if (Settings.Metrics.Port != 0) {
+    if (const absl::Status exposed = Metrics->expose(Settings.Metrics);
+        !exposed.ok())
+      return exposed;
+  }
+  auto udp = openUdp(Context, Settings.Listen,
+                     [this](std::span<const std::byte> buf,
+                            const Endpoint &from) { onDatagram(buf, from); });
+  if (!udp.ok())
+    return udp.status();
+  Udp = *std::move(udp);
+
+  PlacementOptions options;
+  options.Run = Run;
+  options.Address = Udp->endpoint();
+  options.MaxFlows = Settings.MaxFlows;
+  Placement = makeFlowPlacement(options, steadyNow());
+  Requests = std::make_unique<RequestRunner>(
+      Context, RequestRunnerOptions{Settings.BackEnd, Settings.Slots, Run},
+      [this](const SessionKey &flow, const SessionMessage &message) {
+        sendAnswer(flow, message);
+      });
+
+  TcpHandlers handlers;
+  handlers.OnOpen = [this](ConnectionId) { announce(); };
+  handlers.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
+    onControlFrame(frame);
+  };
+  handlers.OnClose = [](ConnectionId) {};
+  LastReplyAt = steadyNow();
+  Control = connectTcp(Context, Settings.Control, std::move(handlers));
+  AnnounceTimer = startTimer(Context, AnnounceInterval, [this] { announce(); });
+  StepTimer = startTimer(Context, StepInterval, [this] { step(); });
+  logEvent(
+      LogLevel::Info, "agent_started", "the agent is announcing its upstream",
+      {{"service", Settings.Service}, {"listen", toString(Udp->endpoint())}});
+  return absl::OkStatus();
+}
+
+void AgentDaemon::onDatagram(std::span<const std::byte> buf,
+                             const Endpoint & /*from*/) {
+  auto message = decodeData(buf);
+  if (!message.ok()) {
+    ++BadDatagrams;
+    return;
+  }
+  const TimePoint now = steadyNow();
+  PlacementOutput output;
+  if (auto *forwarded = std::get_if<ForwardedPacket>(&*message))
+    Placement->onForwarded(std::move(*forwarded), now, output);
+  else if (auto *missed = std::get_if<ProbeMissed>(&*message))
+    Placement->onProbeMissed(std::move(missed->Forwarded), now, output);
+  else if (const auto *report = std::get_if<LoadReport>(&*message))
+    Placement->onLoadReport(*report, now);
+  else
+    ++BadDatagrams;
+  carryOut(std::move(output), now);
+}
+
+void AgentDaemon::carryOut(PlacementOutput output, TimePoint now) {
+  for (const OutgoingDatagram &it : output.Datagrams)
+    sendDatagram(it);
+  for (const DeliveredPayload &it : output.Delivered)
+    Requests->receive({it.Flow.Caller, it.Flow.Flow}, it.Payload, now);
+  for (const FlowKey &it : output.Closed)
+    Requests->closeFlow({it.Caller, it.Flow}, now);
+}
+
+void AgentDaemon::sendDatagram(const OutgoingDatagram &datagram) {
+  Bytes buf;
+  const absl::Status encoded = encodeData(datagram.Message, buf);
+  if (!encoded.ok()) {
+    logEvent(LogLevel::Error, "encode_failed", "a datagram exceeds its bounds",
+             {{"error", encoded.ToString()}});
+    return;
+  }
+  Udp->send(buf, datagram.To);
+}
+
+void AgentDaemon::sendAnswer(const SessionKey &flow,
+                             const SessionMessage &message) {
+  Bytes payload;
+  const absl::Status encoded = encodeSession(message, payload);
+  if (!encoded.ok()) {
+    logEvent(LogLevel::Error, "encode_failed",
+             "a session message exceeds its bounds",
+             {{"error", encoded.ToString()}});
+    return;
+  }
+  sendDatagram(
+      Placement->makeAnswer({flow.Caller, flow.Flow}, std::move(payload)));
+}
+
+void AgentDaemon::announce() {
+  Announce message;
+  message.Service = Settings.Service;
+  message.DataCentre = Settings.DataCentre;
+  message.Zone = Settings.Zone;
+  message.Machine = Settings.Machine;
+  message.Address = Udp->endpoint();
+  message.Run = Run;
+  message.Slots = Settings.Slots;
+  message.Flows = static_cast<std::uint32_t>(Placement->flowCount());
+  message.Draining = StopBegan.has_value();
+  message.Leaving = LeavingSince.has_value();
+  Bytes buf;
+  if (encodeNode(message, buf).ok())
+    Control->send(buf);
+  const TimePoint now = steadyNow();
+  if (now - LastReplyAt > ControlTimeout) {
+    LastReplyAt = now;
+    Control->reconnect();
+  }
+}
+
+void AgentDaemon::onControlFrame(std::span<const std::byte> frame) {
+  const auto message = decodeNode(frame);
+  const auto *reply =
+      message.ok() ? std::get_if<AnnounceReply>(&*message) : nullptr;
+  if (reply == nullptr) {
+    ++BadDatagrams;
+    return;
+  }
+  if (LastResult != reply->Result) {
+    const bool isProblem = reply->Result == AnnounceResult::Rejected ||
+                           reply->Result == AnnounceResult::Unavailable;
+    logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
+             "control has given this upstream a state",
+             {{"result", std::string(resultName(reply->Result))},
+              {"upstream", std::to_string(reply->Upstream.Value)},
+              {"reason", reply->Reason}});
+    LastResult = reply->Result;
+  }
+  if (reply->Result == AnnounceResult::Unavailable) {
+    Control->reconnect();
+    return;
+  }
+  const TimePoint now = steadyNow();
+  LastReplyAt = now;
+  PlacementOutput output;
+  Placement->onAnnounceReply(*reply, now, output);
+  carryOut(std::move(output), now);
+}
+
+void AgentDaemon::step() {
+  const TimePoint now = steadyNow();
+  Requests->tick(now);
+  Placement->setLoad(Requests->coldLoad());
+  if (now - LastPlacementTick >= PlacementTickInterval) {
+    LastPlacementTick = now;
+    PlacementOutput output;
+    Placement->tick(now, output);
+    carryOut(std::move(output), now);
+    Published->update(*Placement, {Requests->limit(), Requests->inFlight(),
+                                   Requests->badPayloads(), BadDatagrams});
+  }
+  if (StopBegan)
+    checkStop(now);
+}
+
+void AgentDaemon::beginStop() {
+  if (StopBegan)
+    return;
+  const TimePoint now = steadyNow();
+  StopBegan = now;
+  Placement->beginDrain(now);
+  logEvent(LogLevel::Info, "drain_started", "no new flows are taken",
+           {{"flows", std::to_string(Placement->flowCount())}});
+  announce();
+}
+
+void AgentDaemon::checkStop(TimePoint now) {
+  if (LeavingSince) {
+    if (now - *LeavingSince >= LeaveTime)
+      finish();
+    return;
+  }
+  const Duration limit = std::chrono::seconds(Settings.DrainSeconds);
+  const bool isTimeOver = limit > Duration::zero() && now - *StopBegan >= limit;
+  const bool isEmpty = Placement->flowCount() == 0 || isTimeOver;
+  if (!isEmpty || Requests->unfinished() != 0)
+    return;
+  LeavingSince = now;
+  announce();
+}
+
+void AgentDaemon::finish() {
+  logEvent(LogLevel::Info, "agent_stopped", "all requests have been answered",
+           {{"flows", std::to_string(Placement->flowCount())}});
+  AnnounceTimer->stop();
+  StepTimer->stop();
+  Control->stop();
+  Udp->stop();
+  Context.stop();
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Agent/RequestRunner.cpp
@@ -0,0 +1,132 @@
+#include "RequestRunner.h"
+
+#include <algorithm>
+
+namespace pistachio {
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+
+/// Weight of one tick in the smoothed share of busy slots.
+constexpr double BusySmoothing = 0.2;
+
+/// Load of an upstream whose limit is far below its slots and fully used. It
+/// stays below the load of a full agent, because a cold upstream still has to
+/// get some work to become warm.
+constexpr double MaxColdLoad = 500;
+
+std::string toHex(const RequestId &id) {
+  constexpr char Digits[] = "0123456789abcdef";
+  std::string text;
+  for (const std::uint64_t half : {id.High, id.Low}) {
+    for (int shift = 60; shift >= 0; shift -= 4)
+      text += Digits[(half >> shift) & 15];
+  }
+  return text;
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(boost::asio::io_context &context,
+                             const RequestRunnerOptions &options,
+                             SendAnswer sendAnswer)
+    : Slots(std::max(options.Slots, 1U)), Send(std::move(sendAnswer)),
+      Admission({.Slots = options.Slots}),
+      Records(makeRequestRecords(
+          {.Run = options.Run, .Seed = options.Run.Value}, *this)),
+      BackEnd(makeBackEndClient(context, options.BackEnd)) {}
+
+void RequestRunner::receive(const SessionKey &flow,
+                            std::span<const std::byte> payload, TimePoint now) {
+  RequestRecordsOutput output;
+  Records->receive(flow, payload, now, output);
+  carryOut(std::move(output), now);
+}
+
+void RequestRunner::closeFlow(const SessionKey &flow, TimePoint now) {
+  RequestRecordsOutput output;
+  Records->onFlowClosed(flow, now, output);
+  carryOut(std::move(output), now);
+}
+
+void RequestRunner::tick(TimePoint now) {
+  const double used = static_cast<double>(inFlight()) / std::max(limit(), 1U);
+  Busy += (std::min(used, 1.0) - Busy) * BusySmoothing;
+  RequestRecordsOutput output;
+  Records->tick(now, output);
+  carryOut(std::move(output), now);
+}
+
+std::uint16_t RequestRunner::coldLoad() const {
+  const double missing =
+      1.0 - static_cast<double>(std::min(limit(), Slots)) / Slots;
+  return static_cast<std::uint16_t>(MaxColdLoad * missing * Busy);
+}
+
+void RequestRunner::carryOut(RequestRecordsOutput output, TimePoint now) {
+  for (const SessionAnswer &it : output.Answers)
+    Send(it.Flow, it.Message);
+  for (const RequestId &it : output.Cancelled)
+    cancelCall(it, now);
+  for (BackEndCall &it : output.Calls)
+    startCall(std::move(it), now);
+}
+
+void RequestRunner::startCall(BackEndCall call, TimePoint now) {
+  const RequestId request = call.Request;
+  HttpRequest http;
+  http.Method = std::move(call.Method);
+  http.Path = std::move(call.Path);
+  http.Body = std::move(call.Body);
+  http.IdempotencyKey = toHex(request);
+  http.Deadline = call.Deadline;
+  const HttpCallId id = BackEnd->call(
+      std::move(http), [this, request](absl::StatusOr<HttpAnswer> answer) {
+        finishCall(request, std::move(answer));
+      });
+  Running[request] = {id, now};
+}
+
+void RequestRunner::finishCall(RequestId request,
+                               absl::StatusOr<HttpAnswer> answer) {
+  const auto it = Running.find(request);
+  if (it == Running.end())
+    return;
+  const TimePoint now = steadyNow();
+  const Duration latency = now - it->second.StartedAt;
+  Running.erase(it);
+
+  using Outcome = AdmissionController::Outcome;
+  RequestRecordsOutput output;
+  if (answer.ok() && answer->Status == ServiceUnavailable) {
+    Admission.finish(Outcome::Shed, latency, now);
+    Records->onBackEndShed(request, answer->RetryAfter, now, output);
+  } else if (answer.ok()) {
+    Admission.finish(Outcome::Served, latency, now);
+    Records->onBackEndAnswer(request,
+                             static_cast<std::uint16_t>(answer->Status),
+                             std::move(answer->Body), now, output);
+  } else {
+    const bool wasSent =
+        answer.status().code() != absl::StatusCode::kUnavailable;
+    Admission.finish(Outcome::Failed, latency, now);
+    if (!wasSent) {
+      // A back end that refuses connections has stopped; it comes back cold.
+      Admission.restart(now);
+    }
+    Records->onBackEndFailure(request, wasSent, now, output);
+  }
+  carryOut(std::move(output), now);
+}
+
+void RequestRunner::cancelCall(RequestId request, TimePoint now) {
+  const auto it = Running.find(request);
+  if (it == Running.end())
+    return;
+  BackEnd->cancel(it->second.Call);
+  Admission.finish(AdmissionController::Outcome::Cancelled,
+                   now - it->second.StartedAt, now);
+  Running.erase(it);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Balancer/ControlLink.cpp
@@ -0,0 +1,97 @@
+#include "ControlLink.h"
+
+#include "Telemetry/Telemetry.h"
+
+#include <variant>
+
+namespace pistachio {
+namespace {
+
+/// A control instance that grants nothing for this long may be cut off from the
+/// leader.
+constexpr Duration GrantTimeout{1500};
+
+} // namespace
+
+ControlLink::ControlLink(boost::asio::io_context &context,
+                         ControlLinkOptions options, Handlers handlers)
+    : Options(std::move(options)), Callbacks(std::move(handlers)) {
+  TcpHandlers tcp;
+  tcp.OnOpen = [this](ConnectionId) { onOpen(); };
+  tcp.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
+    onFrame(frame);
+  };
+  tcp.OnClose = [this](ConnectionId) { Requested.clear(); };
+  Client = connectTcp(context, Options.Control, std::move(tcp));
+}
+
+void ControlLink::onOpen() {
+  Requested.clear();
+  Follower.restart();
+  LastGrantAt = steadyNow();
+  Bytes buf;
+  if (encodeNode(Subscribe{Options.Node, Options.DataCentre, Options.Address,
+                           table()->revision()},
+                 buf)
+          .ok())
+    Client->send(buf);
+  requestLease(steadyNow());
+}
+
+void ControlLink::requestLease(TimePoint now) {
+  if (!Client->isOpen())
+    return;
+  Bytes buf;
+  if (!encodeNode(LeaseRequest{Options.Node, table()->revision()}, buf).ok())
+    return;
+  Requested.push_back(now);
+  Client->send(buf);
+}
+
+void ControlLink::renew(TimePoint now) {
+  if (Client->isOpen() && now - LastGrantAt > GrantTimeout) {
+    LastGrantAt = now;
+    Client->reconnect();
+    return;
+  }
+  requestLease(now);
+}
+
+void ControlLink::onFrame(std::span<const std::byte> frame) {
+  const auto message = decodeNode(frame);
+  if (!message.ok()) {
+    logEvent(LogLevel::Warning, "bad_control_frame",
+             "a frame of control could not be decoded",
+             {{"error", message.status().ToString()}});
+    return Client->reconnect();
+  }
+  if (const auto *update = std::get_if<TableUpdate>(&*message))
+    return onUpdate(*update);
+  const auto *grant = std::get_if<LeaseGrant>(&*message);
+  if (grant == nullptr || Requested.empty())
+    return;
+  const TimePoint sentAt = Requested.front();
+  Requested.pop_front();
+  if (grant->ValidMs > 0)
+    LastGrantAt = steadyNow();
+  Callbacks.OnGrant(*grant, sentAt);
+}
+
+void ControlLink::onUpdate(const TableUpdate &update) {
+  const auto changed = Follower.apply(update);
+  if (!changed.ok()) {
+    logEvent(LogLevel::Warning, "table_gap",
+             "an update does not follow the present table",
+             {{"error", changed.status().ToString()}});
+    return Client->reconnect();
+  }
+  if (!*changed)
+    return;
+  Callbacks.OnTable();
+  // Tells control at once that the revision is in force here.
+  requestLease(steadyNow());
+}
+
+void ControlLink::stop() { Client->stop(); }
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Balancer/PacketWorker.cpp
@@ -0,0 +1,132 @@
+#include "PacketWorker.h"
+
+#include <boost/asio/post.hpp>
+
+#include <variant>
+
+namespace pistachio {
+
+PacketWorker::PacketWorker(BalancerMetrics &metrics, NodeLease lease,
+                           PeerAnswerHandler onPeerAnswer)
+    : Metrics(metrics), OnPeerAnswer(std::move(onPeerAnswer)),
+      Work(Context.get_executor()), Table(TableFollower().table()),
+      Lease(std::move(lease)) {}
+
+PacketWorker::~PacketWorker() { stop(); }
+
+absl::Status PacketWorker::start(const Endpoint &listen) {
+  auto udp = openUdp(
+      Context, listen,
+      [this](std::span<const std::byte> buf, const Endpoint &from) {
+        onDatagram(buf, from);
+      },
+      true);
+  if (!udp.ok())
+    return udp.status();
+  Udp = *std::move(udp);
+  Thread = std::thread([this] { Context.run(); });
+  return absl::OkStatus();
+}
+
+void PacketWorker::stop() {
+  Context.stop();
+  if (Thread.joinable())
+    Thread.join();
+  Udp.reset();
+}
+
+void PacketWorker::update(ServiceTablePtr table, NodeLease lease) {
+  boost::asio::post(Context, [this, table = std::move(table),
+                              lease = std::move(lease)]() mutable {
+    Table = std::move(table);
+    Lease = std::move(lease);
+  });
+}
+
+void PacketWorker::send(const DataMessage &message, const Endpoint &to) {
+  Bytes buf;
+  if (encodeData(message, buf).ok())
+    Udp->send(buf, to);
+}
+
+void PacketWorker::onDatagram(std::span<const std::byte> buf,
+                              const Endpoint &from) {
+  auto message = decodeData(buf);
+  if (!message.ok()) {
+    Metrics.BadMessages.add();
+    return;
+  }
+  if (auto *packet = std::get_if<CallerPacket>(&*message))
+    onCallerPacket(std::move(*packet));
+  else if (auto *exhausted = std::get_if<ChainExhausted>(&*message))
+    onChainExhausted(std::move(exhausted->Forwarded));
+  else if (const auto *query = std::get_if<PeerLeaseQuery>(&*message))
+    answerPeer(*query, from);
+  else if (const auto *answer = std::get_if<PeerLeaseAnswer>(&*message))
+    OnPeerAnswer(*answer);
+  else
+    Metrics.BadMessages.add();
+}
+
+void PacketWorker::onCallerPacket(CallerPacket packet) {
+  const PacketHead head{packet.ServiceAddress, packet.Caller, packet.Flow,
+                        packet.Flags, packet.Token};
+  const RouteDecision decision =
+      routePacket(*Table, Lease.mode(steadyNow()), head);
+  carryOut(decision, std::move(packet));
+}
+
+void PacketWorker::onChainExhausted(ForwardedPacket forwarded) {
+  Metrics.ChainsExtended.add();
+  const RouteDecision decision =
+      continueRoute(*Table, Lease.mode(steadyNow()), forwarded);
+  carryOut(decision, std::move(forwarded.Packet));
+}
+
+void PacketWorker::carryOut(const RouteDecision &decision,
+                            CallerPacket packet) {
+  switch (decision.Action) {
+  case RouteAction::Forward: {
+    const Endpoint to = decision.Chain[decision.ChainIndex].Address;
+    const DataMessage message = makeForwarded(
+        decision, std::move(packet), Udp->endpoint(), Table->revision());
+    Output.clear();
+    if (!encodeData(message, Output).ok()) {
+      Metrics.BadMessages.add();
+      return;
+    }
+    Udp->send(Output, to);
+    Metrics.Forwarded.add();
+    return;
+  }
+  case RouteAction::Reset:
+    Metrics.Resets.add();
+    answerCaller(packet, AnswerKind::Reset, 0);
+    return;
+  case RouteAction::Refuse:
+    Metrics.Refused.add();
+    answerCaller(packet, AnswerKind::Refused, decision.RetryAfterMs);
+    return;
+  case RouteAction::Drop:
+    Metrics.Dropped[static_cast<std::size_t>(decision.Reason)]->add();
+    return;
+  }
+}
+
+void PacketWorker::answerCaller(const CallerPacket &packet, AnswerKind kind,
+                                std::uint32_t retryAfterMs) {
+  CallerAnswer answer;
+  answer.Flow = packet.Flow;
+  answer.Kind = kind;
+  answer.RetryAfterMs = retryAfterMs;
+  send(answer, packet.Caller);
+}
+
+void PacketWorker::answerPeer(const PeerLeaseQuery &query,
+                              const Endpoint &from) {
+  PeerLeaseAnswer answer = Lease.answerPeer(steadyNow(), Table->revision());
+  answer.Nonce = query.Nonce;
+  send(answer, from);
+}
+
+} // namespace pistachio
