--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -366,6 +366,8 @@
         settings.Listen = reader.endpoint("listen", Binding::AnyPort);
         settings.Metrics =
             reader.endpoint("metrics", Binding::AnyAddressOrPort);
+        if (reader.has("health"))
+          settings.Health = reader.endpoint("health", Binding::Exact);
         settings.Control = reader.endpoints("control");
         reader.number("workers", 1, MaxWorkers, settings.Workers);
         settings.Log = reader.log();
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -27,6 +27,9 @@
   Endpoint Listen;
   /// Prometheus endpoint.
   Endpoint Metrics;
+  /// TCP port that accepts connections only while this balancer serves, for the
+  /// health check of the fabric. Optional.
+  Endpoint Health;
   /// Control instances for nodes.
   std::vector<Endpoint> Control;
   std::uint32_t Workers = 1;
@@ -47,8 +50,9 @@
   std::uint32_t Slots = 1;
   std::uint32_t MaxFlows = 4000;
   /// Longest time that a planned stop waits for flows to end, in seconds;
-  /// requests that run then are still finished.
-  std::uint32_t DrainSeconds = 30;
+  /// requests that run then are still finished. 0 waits for all flows, since a
+  /// flow must survive any planned change.
+  std::uint32_t DrainSeconds = 0;
   LogSettings Log;
 };
 
