Test the request layer step by step and with mechanisms off

Purpose: cover the refusals, the bounds of the records, lost flows and the retry budget, and show that the ledger check reports breaches. Ruled out: a simulator; the link of the fault tests is enough for one caller and one agent.

--- a/Source/UnitTests/Session/FaultTest.cpp
+++ b/Source/UnitTests/Session/FaultTest.cpp
@@ -5,10 +5,15 @@
 namespace pistachio {
 namespace {
 
-constexpr Fault Faults[] = {Fault::Drop,          Fault::Repeat,
-                            Fault::Delay,         Fault::LateCopy,
-                            Fault::RestartBefore, Fault::RestartAfter,
-                            Fault::CancelNow,     Fault::FlowClosed};
+constexpr Fault Faults[] = {Fault::Drop,
+                            Fault::Repeat,
+                            Fault::Delay,
+                            Fault::LateCopy,
+                            Fault::RestartBefore,
+                            Fault::RestartAfter,
+                            Fault::RestartAndReopen,
+                            Fault::CancelNow,
+                            Fault::FlowClosed};
 
 std::string breaches(const LedgerTotals &totals) {
   std::string text;
@@ -152,5 +157,47 @@
 INSTANTIATE_TEST_SUITE_P(Deadlines, DeadlineAtEachStep,
                          testing::Range(0, 200, 4));
 
+// Guards against an answer that was altered on the agent's side, behind the
+// envelope's checksum, and is taken for the answer.
+TEST(AlteredAnswer, IsNeverReported) {
+  for (const bool always : {true, false}) {
+    WorldOptions options;
+    int altered = 0;
+    options.AlterAnswer = [&](SessionMessage &message) {
+      if (auto *it = std::get_if<AnswerSegment>(&message);
+          it && it->Offset == 1000 && (always || altered == 0)) {
+        it->Content[10] ^= std::byte{1};
+        ++altered;
+      }
+    };
+    SessionWorld world(options);
+    world.start(false, 100);
+    world.run();
+    const LedgerTotals totals = world.totals();
+    EXPECT_TRUE(totals.isClean()) << breaches(totals);
+    EXPECT_GT(altered, 0);
+    EXPECT_EQ(totals.Answered, always ? 0u : 1u);
+  }
+}
+
+// Guards against a request that stays open for good on a flow that went silent
+// while new flows work.
+TEST(SilentFlow, IsReplacedAfterThreeKeepAlives) {
+  WorldOptions options;
+  options.Caller.KeepAliveInterval = Duration(500);
+  SessionWorld world(options);
+  world.start(true, 100);
+  world.run();
+  world.silenceFlows();
+  world.start(true, 100);
+  world.start(false, 100);
+  world.run();
+  const LedgerTotals totals = world.totals();
+  EXPECT_TRUE(totals.isClean()) << breaches(totals);
+  EXPECT_EQ(totals.Answered, 2u);
+  EXPECT_EQ(totals.Unknown, 1u);
+  EXPECT_EQ(world.counters().FlowsBroken, 1u);
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Session/SessionWorld.cpp
+++ b/Source/UnitTests/Session/SessionWorld.cpp
@@ -76,10 +76,12 @@
     RequestRecordsOutput output;
     Records->tick(Now, output);
     take(output);
-    if (Caller->openRequests() > 0)
+    if (Caller->openRequests() > 0) {
       quietEnd = end;
-    else if (quietEnd == end)
+    } else if (quietEnd == end) {
       quietEnd = Now + Late + Duration(1000);
+      Gate.Free += Options.SlotsLater;
+    }
   }
 }
 
@@ -100,9 +102,8 @@
   Gate.Free += static_cast<std::uint32_t>(output.Cancelled.size());
   for (SessionAnswer &answer : output.Answers) {
     Bytes payload;
-    if (Options.FalseRefusal && std::get_if<AnswerSegment>(&answer.Message))
-      answer.Message = NotRun{std::get<AnswerSegment>(answer.Message).Request,
-                              RefusalReason::Cancelled, 0, 100};
+    if (Options.AlterAnswer)
+      Options.AlterAnswer(answer.Message);
     if (encodeSession(answer.Message, payload).ok())
       toCaller(answer.Flow, AnswerKind::Data, std::move(payload));
   }
@@ -140,6 +141,13 @@
   case Fault::RestartAfter:
     at(delay + Step, [this] { restartAgent(); });
     break;
+  case Fault::RestartAndReopen:
+    at(delay, [this] {
+      const auto flows = Flows;
+      restartAgent();
+      Flows = flows;
+    });
+    break;
   case Fault::CancelNow:
     at(delay, [this] { cancel({7, LastId}); });
     break;
@@ -159,6 +167,8 @@
 
 void SessionWorld::toAgent(const CallerPacket &packet) {
   const SessionKey flow{packet.Caller, packet.Flow};
+  if (Silent.contains(flow))
+    return;
   if (packet.Flags & PacketFlag::First) {
     Flows.insert(flow);
     return toCaller(flow, AnswerKind::Accept, {});
@@ -179,8 +189,6 @@
                             Bytes payload) {
   CallerAnswer answer{
       flow.Flow, kind, {UpstreamId{1}, Run}, 0, std::move(payload)};
-  if (kind == AnswerKind::Data && Options.AlterAnswer)
-    Options.AlterAnswer(answer);
   carry([this, answer] {
     CallerOutput output;
     Caller->receive(answer, Now, output);
--- a/Source/UnitTests/Session/SessionWorld.h
+++ b/Source/UnitTests/Session/SessionWorld.h
@@ -24,6 +24,8 @@
   /// The agent is replaced before or after the packet arrives.
   RestartBefore,
   RestartAfter,
+  /// The agent is replaced, and a late first packet opens the flow there.
+  RestartAndReopen,
   CancelNow,
   FlowClosed
 };
@@ -37,14 +39,15 @@
   Duration Latency{30};
   std::size_t AnswerBytes = 2500;
   std::uint32_t Slots = 2;
+  /// Slots that become free after the last request has its result.
+  std::uint32_t SlotsLater = 0;
   /// Each of these is the outcome of one back-end call in turn; then 'a'.
   /// a: answers, s: sheds, n: fails before sending, f: fails after it ran.
   std::string Script;
   /// Mechanisms that the control cases turn off.
   bool ClearRecordsBetweenPackets = false;
   bool ForgetIncarnation = false;
-  bool FalseRefusal = false;
-  std::function<void(CallerAnswer &)> AlterAnswer;
+  std::function<void(SessionMessage &)> AlterAnswer;
 };
 
 /// One caller session and one agent's records, connected by an in-memory link
@@ -63,6 +66,8 @@
   /// packets to arrive.
   void run(Duration limit = Duration(60000));
   void restartAgent();
+  /// Packets of the present flows vanish from now on.
+  void silenceFlows() { Silent = Flows; }
 
   LedgerTotals totals() const { return Ledger.totals(); }
   std::size_t packets() const { return Sent; }
@@ -99,6 +104,7 @@
   Slots Gate;
   Incarnation Run{1};
   std::set<SessionKey> Flows;
+  std::set<SessionKey> Silent;
   std::unique_ptr<CallerSession> Caller;
   std::unique_ptr<RequestRecords> Records;
   LedgerCheck Ledger;
