--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -51,8 +51,8 @@
                        {UpstreamId{3}, Incarnation{9}},
                        250,
                        sampleBytes(40)},
-          PeerLeaseQuery{"balancer-1", Revision{8}},
-          PeerLeaseAnswer{"balancer-2", 1500, Revision{9}}};
+          PeerLeaseQuery{"balancer-1", 17, Revision{8}},
+          PeerLeaseAnswer{"balancer-2", 17, 1500, Revision{9}}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
@@ -131,7 +131,9 @@
           AppendReply{MemberId{2}, 3, 44, true, 12},
           SnapshotPart{MemberId{1}, 3, 10, 2, 64, 128, 0x55, sampleBytes(20),
                        sampleBytes(64)},
-          SnapshotReply{MemberId{2}, 3, 10, 128}};
+          SnapshotReply{MemberId{2}, 3, 10, 128},
+          JoinRequest{MemberId{3}, {0x7F000001, 9000}},
+          JoinReply{true, {0x7F000001, 9001}}};
 }
 
 } // namespace pistachio
