Add administration API server and client

Purpose: serve the HTTP/JSON API of the control instance with one credential per team, and give pistachioctl a blocking client.

Ruled out: beast::tcp_stream in the server, because its timeout closes the connection before a 408 can be sent; answering 503 above the connection limit, because a client that is still sending would see a reset. Further connections wait in the listen queue instead. The client does not resend an apply request by itself: only its user knows how long to try.

Changed: AdminServerOptions gains RequestTimeout, BackendTimeout and MaxConnections, AdminServer gains connections(), Admin.h gains toJson() and MaxAdminBodyBytes. Backend callbacks may run before the call returns. The team of a change is always that of the credential. A fault inside the server and an incomplete answer count as an unknown outcome.

--- a/Source/Core/Admin/Admin.h
+++ b/Source/Core/Admin/Admin.h
@@ -9,6 +9,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -85,11 +87,17 @@
   std::vector<UpstreamStatus> Upstreams;
 };
 
+/// The JSON document of GET /v1/status.
+std::string toJson(const ControlStatus &status);
+
 /// What the API needs from the control instance. Callbacks run on the caller's
-/// io_context. Status codes: Aborted is a conflict of revisions, Unavailable
-/// means that this instance cannot reach the leader, InvalidArgument carries
-/// findings, PermissionDenied and NotFound as usual, DeadlineExceeded means
-/// that the outcome is not known and the same operation id may be resent.
+/// io_context and may run before the call returns. Status codes: Aborted is a
+/// conflict of revisions (the message states the present one), Unavailable
+/// means that this instance cannot reach the leader and nothing was changed,
+/// InvalidArgument carries findings as formatted by Findings, PermissionDenied
+/// and NotFound as usual, ResourceExhausted means that the change was refused
+/// for want of space, DeadlineExceeded means that the outcome is not known and
+/// the same operation id may be resent.
 class AdminBackend {
 public:
   virtual ~AdminBackend() = default;
@@ -111,23 +119,46 @@
 struct AdminServerOptions {
   Endpoint Listen;
   std::vector<TeamCredential> Credentials;
+  /// Longest time from the first byte that is awaited to the end of a request,
+  /// and the same for sending an answer.
+  Duration RequestTimeout{10'000};
+  /// Longest time that the backend may take; afterwards the outcome is reported
+  /// as unknown.
+  Duration BackendTimeout{15'000};
+  /// Further connections wait in the listen queue of the system.
+  std::size_t MaxConnections = 64;
 };
 
+inline constexpr std::size_t MaxAdminBodyBytes = 1024 * 1024;
+
+/// The team of an apply request is the one of its credential, whatever its body
+/// states.
 class AdminServer {
 public:
+  /// Stops the server; destroy it on the thread that runs the context, or when
+  /// none does.
   virtual ~AdminServer() = default;
   /// The bound endpoint; useful if port 0 was asked for.
   virtual Endpoint endpoint() const = 0;
+  /// Connections that are open now.
+  virtual std::size_t connections() const = 0;
+  /// Closes all connections; the backend is not called afterwards.
   virtual void stop() = 0;
 };
 
+/// The context must be run by one thread, and the backend must outlive the
+/// server. InvalidArgument without credentials or with an empty one,
+/// Unavailable if the endpoint cannot be bound.
 absl::StatusOr<std::unique_ptr<AdminServer>>
 startAdminServer(boost::asio::io_context &context, AdminServerOptions options,
                  AdminBackend &backend);
 
 /// Blocking client with a deadline for each call. Tries the endpoints in turn
-/// until one answers with something else than Unavailable. A lost answer to
-/// apply() is DeadlineExceeded.
+/// until one answers with something else than Unavailable, and gives each an
+/// equal share of the time that is left. A lost answer to apply() is
+/// DeadlineExceeded; the next call then begins with the following endpoint.
+/// Further codes are those of AdminBackend and Unauthenticated. The team of a
+/// request is not sent.
 class AdminClient {
 public:
   virtual ~AdminClient() = default;
--- /dev/null
+++ b/Source/Core/Admin/AdminClient.cpp
@@ -0,0 +1,217 @@
+#include "Admin/Admin.h"
+#include "Admin/AdminJson.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+
+namespace pistachio {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// A status with 130,000 upstreams takes about 30 MB.
+constexpr std::uint64_t MaxAnswerBytes = 64 * 1024 * 1024;
+
+/// One request on a connection of its own.
+class Exchange {
+public:
+  Exchange(const Endpoint &server, http::request<http::string_body> request)
+      : Server(server), Request(std::move(request)) {
+    Parser.body_limit(MaxAnswerBytes);
+  }
+
+  /// False if no complete answer arrived within \p time.
+  bool run(Duration time) {
+    Stream.expires_after(time);
+    Stream.async_connect(
+        tcp::endpoint(asio::ip::address_v4(Server.Address), Server.Port),
+        [this](error_code ec) { onConnected(ec); });
+    // Ends when nothing is pending, at the latest when the stream expires.
+    Context.run();
+    return Complete;
+  }
+
+  /// Whether any part of the request may have reached the server.
+  bool sent() const { return Sent; }
+  const std::string &error() const { return Error; }
+  const http::response<http::string_body> &answer() const {
+    return Parser.get();
+  }
+
+private:
+  void onConnected(error_code ec) {
+    if (failed(ec))
+      return;
+    Sent = true;
+    http::async_write(Stream, Request, [this](error_code error, std::size_t) {
+      // A server that refuses a long request answers before its end.
+      if (error)
+        Error = error.message();
+      http::async_read(
+          Stream, Buffer, Parser,
+          [this](error_code last, std::size_t) { Complete = !failed(last); });
+    });
+  }
+
+  bool failed(error_code ec) {
+    if (ec && Error.empty())
+      Error = ec.message();
+    return static_cast<bool>(ec);
+  }
+
+  Endpoint Server;
+  asio::io_context Context;
+  boost::beast::tcp_stream Stream{Context};
+  http::request<http::string_body> Request;
+  boost::beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  std::string Error;
+  bool Sent = false;
+  bool Complete = false;
+};
+
+class HttpAdminClient final : public AdminClient {
+public:
+  HttpAdminClient(std::vector<Endpoint> servers, std::string secret,
+                  Duration deadline)
+      : Servers(std::move(servers)), Secret(std::move(secret)),
+        Deadline(deadline) {}
+
+  absl::StatusOr<CurrentRules> readRules() override {
+    const auto answer = call(http::verb::get, "/v1/rules", "");
+    if (!answer.ok())
+      return answer.status();
+    const auto revision = findNumber(*answer, "rulesRevision");
+    auto rules = findText(*answer, "rules");
+    if (!revision || !rules)
+      return absl::InternalError("the rules document is incomplete");
+    return CurrentRules{{*revision}, *std::move(rules)};
+  }
+
+  absl::StatusOr<ControlStatus> readStatus() override {
+    const auto answer = call(http::verb::get, "/v1/status", "");
+    if (!answer.ok())
+      return answer.status();
+    return statusFromJson(*answer);
+  }
+
+  absl::StatusOr<ApplyOutcome> apply(const ApplyRequest &request) override {
+    const json::object body = {
+        {"operationId", request.OperationId},
+        {"expectedRevision", request.ExpectedRevision.Value},
+        {"operator", request.Operator},
+        {"rules", request.Rules}};
+    const auto answer =
+        call(http::verb::post, "/v1/rules/apply", json::serialize(body));
+    if (!answer.ok())
+      return answer.status();
+    const auto revision = findNumber(*answer, "rulesRevision");
+    auto changes = findText(*answer, "changes");
+    const json::value *repeated = answer->if_contains("repeated");
+    if (!revision || !changes || repeated == nullptr || !repeated->is_bool())
+      return absl::DeadlineExceededError("the answer is incomplete");
+    return ApplyOutcome{{*revision}, *std::move(changes), repeated->get_bool()};
+  }
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  absl::StatusOr<json::object> call(http::verb verb, std::string_view target,
+                                    const std::string &body) {
+    const auto end = Clock::now() + Deadline;
+    absl::Status last = absl::UnavailableError("no server is given");
+    for (std::size_t left = Servers.size(); left > 0; --left) {
+      const auto share = std::chrono::duration_cast<Duration>(
+          (end - Clock::now()) / static_cast<int>(left));
+      if (share <= Duration::zero())
+        break;
+      auto answer = callOne(Servers[First], verb, target, body, share);
+      if (answer.ok())
+        return answer;
+      last = answer.status();
+      const bool lost = absl::IsDeadlineExceeded(last);
+      if (!lost && !absl::IsUnavailable(last))
+        return last;
+      First = (First + 1) % Servers.size();
+      if (lost && verb == http::verb::post)
+        return last;
+    }
+    // A read has no outcome that could be unknown.
+    if (absl::IsDeadlineExceeded(last))
+      return absl::UnavailableError(messageOf(last));
+    return last;
+  }
+
+  absl::StatusOr<json::object> callOne(const Endpoint &server, http::verb verb,
+                                       std::string_view target,
+                                       const std::string &body,
+                                       Duration time) const {
+    http::request<http::string_body> request(
+        verb, {target.data(), target.size()}, 11);
+    request.set(http::field::host, toString(server));
+    request.set(http::field::authorization, "Bearer " + Secret);
+    request.set(http::field::content_type, "application/json");
+    request.keep_alive(false);
+    request.body() = body;
+    request.prepare_payload();
+
+    Exchange exchange(server, std::move(request));
+    if (!exchange.run(time)) {
+      const std::string message =
+          concat(toString(server), ": ", exchange.error());
+      if (exchange.sent())
+        return absl::DeadlineExceededError(concat("no answer from ", message));
+      return absl::UnavailableError(concat("cannot reach ", message));
+    }
+    const auto &answer = exchange.answer();
+    auto object = parseObject(answer.body());
+    if (!object.ok())
+      return absl::DeadlineExceededError(
+          concat(toString(server),
+                 " sent no valid answer: ", messageOf(object.status())));
+    if (answer.result() == http::status::ok)
+      return *std::move(object);
+    return withPlace(server, answer.result_int(), errorFromJson(*object));
+  }
+
+  static absl::Status withPlace(const Endpoint &server, unsigned httpStatus,
+                                const absl::Status &status) {
+    const std::string message =
+        concat(toString(server), ": ", messageOf(status));
+    // The server did not read the whole request.
+    if (httpStatus == 408)
+      return absl::UnavailableError(message);
+    // A fault inside the server says nothing about the outcome.
+    if (httpStatus >= 500 && absl::IsInternal(status))
+      return absl::DeadlineExceededError(message);
+    if (absl::IsUnavailable(status) || absl::IsInternal(status))
+      return {status.code(), message};
+    return status;
+  }
+
+  std::vector<Endpoint> Servers;
+  std::string Secret;
+  Duration Deadline;
+  /// The server that is asked first.
+  std::size_t First = 0;
+};
+
+} // namespace
+
+std::unique_ptr<AdminClient> makeAdminClient(std::vector<Endpoint> servers,
+                                             std::string secret,
+                                             Duration deadline) {
+  return std::make_unique<HttpAdminClient>(std::move(servers),
+                                           std::move(secret), deadline);
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Admin/AdminJson.cpp
@@ -0,0 +1,285 @@
+#include "Admin/AdminJson.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pistachio {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t MaxDepth = 8;
+
+json::string_view view(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// Reads the fields of an object; one that is absent or of another type makes
+/// the whole document invalid.
+class FieldReader {
+public:
+  FieldReader(const json::value &value, bool &good)
+      : Object(value.if_object()), Good(good) {
+    if (Object == nullptr)
+      Good = false;
+  }
+  FieldReader(const json::object &object, bool &good)
+      : Object(&object), Good(good) {}
+
+  std::string text(std::string_view key) {
+    return take(Object == nullptr ? std::nullopt : findText(*Object, key));
+  }
+  template <typename Number> Number number(std::string_view key) {
+    const std::uint64_t value =
+        take(Object == nullptr ? std::nullopt : findNumber(*Object, key));
+    if (value > std::numeric_limits<Number>::max())
+      Good = false;
+    return static_cast<Number>(value);
+  }
+  bool flag(std::string_view key) {
+    const json::value *value = find(key);
+    if (value == nullptr || !value->is_bool()) {
+      Good = false;
+      return false;
+    }
+    return value->get_bool();
+  }
+  Endpoint endpoint(std::string_view key) {
+    const auto value = parseEndpoint(text(key), true);
+    if (!value.ok())
+      Good = false;
+    return value.ok() ? *value : Endpoint{};
+  }
+  template <typename Visit> void each(std::string_view key, Visit visit) {
+    const json::value *value = find(key);
+    if (value == nullptr || !value->is_array()) {
+      Good = false;
+      return;
+    }
+    for (const json::value &it : value->get_array())
+      visit(FieldReader(it, Good));
+  }
+
+private:
+  const json::value *find(std::string_view key) const {
+    return Object == nullptr ? nullptr : Object->if_contains(view(key));
+  }
+  template <typename T> T take(std::optional<T> value) {
+    if (!value)
+      Good = false;
+    return std::move(value).value_or(T{});
+  }
+
+  const json::object *Object;
+  bool &Good;
+};
+
+constexpr ErrorKind ErrorKinds[] = {
+    {absl::StatusCode::kAborted, "conflict", 409},
+    {absl::StatusCode::kUnavailable, "unavailable", 503},
+    {absl::StatusCode::kInvalidArgument, "findings", 422},
+    {absl::StatusCode::kPermissionDenied, "not_permitted", 403},
+    {absl::StatusCode::kUnauthenticated, "unauthenticated", 401},
+    {absl::StatusCode::kNotFound, "not_found", 404},
+    {absl::StatusCode::kDeadlineExceeded, "outcome_unknown", 504},
+    {absl::StatusCode::kResourceExhausted, "no_space", 507},
+    {absl::StatusCode::kInternal, "internal", 500},
+};
+
+/// Removes "NUMBER:" from the front, or leaves the text as it is and returns 0.
+std::uint32_t consumeNumber(std::string_view &text) {
+  std::uint32_t value = 0;
+  const char *end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr == end || *result.ptr != ':')
+    return 0;
+  text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()) + 1);
+  return value;
+}
+
+/// The inverse of toString(Finding); a line of another form is only a message.
+Finding parseFinding(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos)
+    return {"", 0, 0, std::string(line)};
+  std::string_view rest = line.substr(colon + 1);
+  Finding finding;
+  finding.Line = consumeNumber(rest);
+  if (finding.Line == 0)
+    return {"", 0, 0, std::string(line)};
+  finding.Column = consumeNumber(rest);
+  finding.File = line.substr(0, colon);
+  finding.Message = rest.substr(rest.starts_with(' ') ? 1 : 0);
+  return finding;
+}
+
+} // namespace
+
+absl::StatusOr<json::object> parseObject(std::string_view text) {
+  json::parse_options options;
+  options.max_depth = MaxDepth;
+  boost::system::error_code ec;
+  json::value value = json::parse(view(text), ec, {}, options);
+  if (ec)
+    return absl::InvalidArgumentError(
+        concat("the body is not valid JSON: ", ec.message()));
+  if (!value.is_object())
+    return absl::InvalidArgumentError("the body is not a JSON object");
+  return std::move(value.get_object());
+}
+
+std::optional<std::string> findText(const json::object &object,
+                                    std::string_view key) {
+  const json::value *value = object.if_contains(view(key));
+  if (value == nullptr || !value->is_string())
+    return std::nullopt;
+  const json::string &text = value->get_string();
+  return std::string(text.data(), text.size());
+}
+
+std::optional<std::uint64_t> findNumber(const json::object &object,
+                                        std::string_view key) {
+  const json::value *value = object.if_contains(view(key));
+  if (value == nullptr)
+    return std::nullopt;
+  boost::system::error_code ec;
+  const auto number = value->to_number<std::uint64_t>(ec);
+  if (ec)
+    return std::nullopt;
+  return number;
+}
+
+json::array upstreamsToJson(const std::vector<UpstreamStatus> &items) {
+  json::array array;
+  for (const UpstreamStatus &it : items)
+    array.push_back({{"id", it.Id.Value},
+                     {"service", it.Service},
+                     {"dataCentre", it.DataCentre},
+                     {"zone", it.Zone},
+                     {"machine", it.Machine},
+                     {"address", toString(it.Address)},
+                     {"state", it.State},
+                     {"slots", it.Slots},
+                     {"flows", it.Flows}});
+  return array;
+}
+
+json::object statusToJson(const ControlStatus &status) {
+  json::array members;
+  for (const MemberStatus &it : status.Members)
+    members.push_back({{"id", it.Id.Value},
+                       {"address", toString(it.Address)},
+                       {"voter", it.Voter}});
+  json::array balancers;
+  for (const NodeStatus &it : status.Balancers)
+    balancers.push_back({{"name", it.Name},
+                         {"dataCentre", it.DataCentre},
+                         {"address", toString(it.Address)},
+                         {"inForce", it.InForce.Value},
+                         {"silentMs", it.SilentMs}});
+  return {{"role", status.Role},
+          {"term", status.Term},
+          {"commitIndex", status.CommitIndex},
+          {"published", status.Published.Value},
+          {"rulesRevision", status.RulesRevision.Value},
+          {"members", std::move(members)},
+          {"balancers", std::move(balancers)},
+          {"upstreams", upstreamsToJson(status.Upstreams)}};
+}
+
+absl::StatusOr<ControlStatus> statusFromJson(const json::object &object) {
+  bool good = true;
+  FieldReader reader(object, good);
+  ControlStatus status;
+  status.Role = reader.text("role");
+  status.Term = reader.number<std::uint64_t>("term");
+  status.CommitIndex = reader.number<std::uint64_t>("commitIndex");
+  status.Published = {reader.number<std::uint64_t>("published")};
+  status.RulesRevision = {reader.number<std::uint64_t>("rulesRevision")};
+  reader.each("members", [&](FieldReader it) {
+    status.Members.push_back({{it.number<MemberId::RepType>("id")},
+                              it.endpoint("address"),
+                              it.flag("voter")});
+  });
+  reader.each("balancers", [&](FieldReader it) {
+    status.Balancers.push_back({it.text("name"),
+                                it.text("dataCentre"),
+                                it.endpoint("address"),
+                                {it.number<std::uint64_t>("inForce")},
+                                it.number<std::uint64_t>("silentMs")});
+  });
+  reader.each("upstreams", [&](FieldReader it) {
+    status.Upstreams.push_back({{it.number<std::uint32_t>("id")},
+                                it.text("service"),
+                                it.text("dataCentre"),
+                                it.text("zone"),
+                                it.text("machine"),
+                                it.endpoint("address"),
+                                it.text("state"),
+                                it.number<std::uint32_t>("slots"),
+                                it.number<std::uint32_t>("flows")});
+  });
+  if (!good)
+    return absl::InternalError("the status document is incomplete");
+  return status;
+}
+
+const ErrorKind &errorKind(absl::StatusCode code) {
+  const auto *it = std::ranges::find(ErrorKinds, code, &ErrorKind::Code);
+  return it == std::end(ErrorKinds) ? *std::prev(it) : *it;
+}
+
+json::object errorToJson(std::string_view code, std::string_view message,
+                         std::span<const Finding> findings) {
+  json::array array;
+  for (const Finding &it : findings)
+    array.push_back({{"file", it.File},
+                     {"line", it.Line},
+                     {"column", it.Column},
+                     {"message", it.Message}});
+  return {{"error",
+           {{"code", view(code)},
+            {"message", view(message)},
+            {"findings", std::move(array)}}}};
+}
+
+json::object errorToJson(const absl::Status &status) {
+  const std::string message = messageOf(status);
+  const ErrorKind &kind = errorKind(status.code());
+  if (status.code() != absl::StatusCode::kInvalidArgument)
+    return errorToJson(kind.Name, message, {});
+  std::vector<Finding> findings;
+  std::string_view rest = message;
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('\n'), rest.size());
+    findings.push_back(parseFinding(rest.substr(0, end)));
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return errorToJson(kind.Name, "the rules have findings", findings);
+}
+
+absl::Status errorFromJson(const json::object &object) {
+  const json::value *value = object.if_contains("error");
+  const json::object *error = value == nullptr ? nullptr : value->if_object();
+  const auto code = error ? findText(*error, "code") : std::nullopt;
+  const auto message = error ? findText(*error, "message") : std::nullopt;
+  if (!code || !message)
+    return absl::InternalError("the answer is not an error document");
+  Findings findings;
+  bool good = true;
+  if (error->contains("findings"))
+    FieldReader(*error, good).each("findings", [&](FieldReader it) {
+      findings.add({it.text("file"), it.number<std::uint32_t>("line"),
+                    it.number<std::uint32_t>("column"), it.text("message")});
+    });
+  const auto *kind = std::ranges::find(ErrorKinds, *code, &ErrorKind::Name);
+  if (kind == std::end(ErrorKinds))
+    return absl::InternalError(concat(*code, ": ", *message));
+  return {kind->Code, good && !findings.empty() ? findings.format() : *message};
+}
+
+std::string toJson(const ControlStatus &status) {
+  return json::serialize(statusToJson(status));
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Admin/AdminServer.cpp
@@ -0,0 +1,503 @@
+#include "Admin/Admin.h"
+#include "Admin/AdminJson.h"
+#include "Rules/Rules.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <set>
+
+namespace pistachio {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
+constexpr std::size_t MaxOperatorBytes = 128;
+/// A client that still sends must get the error instead of a reset, so what it
+/// sends is read and dropped up to these bounds.
+constexpr std::size_t MaxDrainedBytes = 4 * MaxAdminBodyBytes;
+constexpr Duration MaxDrainTime{2000};
+/// Wait after a failed accept, for example without free descriptors.
+constexpr Duration AcceptRetryDelay{100};
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+/// Takes the same time for every secret of one length, whatever the first
+/// difference is.
+bool equalInConstantTime(std::string_view presented, std::string_view secret) {
+  volatile std::size_t difference = presented.size() ^ secret.size();
+  for (std::size_t i = 0; i < presented.size(); ++i)
+    difference = difference | static_cast<unsigned char>(
+                                  presented[i] ^ secret[i % secret.size()]);
+  return difference == 0;
+}
+
+bool isPrintableAscii(std::string_view text) {
+  return std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7F; });
+}
+
+bool isOneLine(std::string_view text) {
+  return std::ranges::none_of(text, [](char c) {
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7F;
+  });
+}
+
+class Session;
+
+struct ServerState {
+  ServerState(asio::io_context &context, AdminServerOptions options,
+              AdminBackend &backend)
+      : Options(std::move(options)), Backend(backend), Acceptor(context),
+        AcceptTimer(context) {}
+
+  AdminServerOptions Options;
+  AdminBackend &Backend;
+  tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  std::set<std::shared_ptr<Session>> Sessions;
+  bool Accepting = false;
+  bool Stopped = false;
+};
+
+void acceptNext(const std::shared_ptr<ServerState> &state);
+
+/// One connection; handles its requests one after the other.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(std::shared_ptr<ServerState> state, tcp::socket socket)
+      : State(std::move(state)), Socket(std::move(socket)),
+        Timer(Socket.get_executor()) {}
+
+  void readRequest() {
+    TimedOut = false;
+    Parser.emplace();
+    Parser->body_limit(MaxAdminBodyBytes);
+    Parser->header_limit(MaxHeaderBytes);
+    arm(State->Options.RequestTimeout, [](Session &it) {
+      it.TimedOut = true;
+      error_code ec;
+      it.Socket.cancel(ec);
+    });
+    http::async_read(Socket, Buffer, *Parser,
+                     [self = shared_from_this()](error_code ec, std::size_t) {
+                       self->onRead(ec);
+                     });
+  }
+
+  void close() {
+    ++Turn;
+    Timer.cancel();
+    error_code ec;
+    Socket.close(ec);
+    if (State->Sessions.erase(shared_from_this()) > 0 && !State->Stopped)
+      acceptNext(State);
+  }
+
+private:
+  /// Runs \p act after \p time unless the timer is armed or disarmed before.
+  template <typename Act> void arm(Duration time, Act act) {
+    const std::uint64_t turn = ++Turn;
+    Timer.expires_after(time);
+    Timer.async_wait([self = shared_from_this(), turn, act](error_code ec) {
+      if (!ec && turn == self->Turn)
+        act(*self);
+    });
+  }
+
+  void disarm() {
+    ++Turn;
+    Timer.cancel();
+  }
+
+  void onRead(error_code ec) {
+    disarm();
+    if (State->Stopped || !Socket.is_open())
+      return;
+    if (!ec) {
+      KeepAlive = Parser->get().keep_alive();
+      handle();
+      return;
+    }
+    KeepAlive = false;
+    const bool started = Parser->got_some() || Buffer.size() > 0;
+    if (TimedOut && started)
+      fail(408, "timeout", "the request was not complete in time");
+    else if (ec == http::error::body_limit)
+      fail(413, "too_large",
+           concat("the body is longer than ", std::to_string(MaxAdminBodyBytes),
+                  " bytes"));
+    else if (ec == http::error::header_limit ||
+             ec == http::error::buffer_overflow)
+      fail(431, "too_large",
+           concat("the header is longer than ", std::to_string(MaxHeaderBytes),
+                  " bytes"));
+    else if (ec == http::error::partial_message)
+      fail(400, "cut_off", "the request ends before its stated length");
+    else if (ec != http::error::end_of_stream &&
+             ec.category() ==
+                 http::make_error_code(http::error::bad_version).category())
+      fail(400, "malformed_request",
+           concat("the request is not valid HTTP/1.1: ", ec.message()));
+    else
+      close();
+  }
+
+  std::optional<std::string> authenticate() const {
+    const auto field = Parser->get()[http::field::authorization];
+    std::string_view presented(field.data(), field.size());
+    if (!presented.starts_with(BearerPrefix))
+      return std::nullopt;
+    presented.remove_prefix(BearerPrefix.size());
+    std::optional<std::string> team;
+    // All credentials are compared, so that the time does not tell the team.
+    for (const TeamCredential &it : State->Options.Credentials)
+      if (equalInConstantTime(presented, it.Secret))
+        team = it.Team;
+    return team;
+  }
+
+  void handle() {
+    const auto &request = Parser->get();
+    const auto team = authenticate();
+    if (!team) {
+      fail(401, "unauthenticated", "the credential is missing or unknown");
+      return;
+    }
+    struct Route {
+      std::string_view Target;
+      http::verb Verb;
+      void (Session::*Run)(const std::string &team);
+    };
+    static constexpr Route Routes[] = {
+        {"/v1/status", http::verb::get, &Session::getStatus},
+        {"/v1/upstreams", http::verb::get, &Session::getUpstreams},
+        {"/v1/rules", http::verb::get, &Session::getRules},
+        {"/v1/rules/check", http::verb::post, &Session::checkRules},
+        {"/v1/rules/apply", http::verb::post, &Session::applyRules},
+    };
+    const std::string_view target(request.target().data(),
+                                  request.target().size());
+    const auto *route = std::ranges::find(Routes, target, &Route::Target);
+    if (route == std::end(Routes))
+      fail(404, "not_found", "there is no such resource");
+    else if (route->Verb != request.method())
+      fail(405, "method_not_allowed", "the resource has another method");
+    else
+      (this->*route->Run)(*team);
+  }
+
+  /// A callback for the backend that calls \p act with its result, unless the
+  /// backend timeout passed, which is answered as \p late.
+  template <typename Result, typename Act>
+  std::function<void(absl::StatusOr<Result>)> onResult(absl::Status late,
+                                                       Act act) {
+    arm(State->Options.BackendTimeout,
+        [late = std::move(late)](Session &it) { it.fail(late); });
+    return [self = shared_from_this(), turn = Turn,
+            act = std::move(act)](absl::StatusOr<Result> result) {
+      asio::dispatch(self->Socket.get_executor(),
+                     [self, turn, act, result = std::move(result)] {
+                       if (turn != self->Turn || self->State->Stopped)
+                         return;
+                       self->disarm();
+                       if (result.ok())
+                         act(*self, *result);
+                       else
+                         self->fail(result.status());
+                     });
+    };
+  }
+
+  static absl::Status lateRead() {
+    return absl::UnavailableError("the control instance did not answer");
+  }
+
+  void getStatus(const std::string &) {
+    State->Backend.readStatus(onResult<ControlStatus>(
+        lateRead(), [](Session &it, const ControlStatus &status) {
+          it.respond(200, statusToJson(status));
+        }));
+  }
+
+  void getUpstreams(const std::string &) {
+    State->Backend.readStatus(onResult<ControlStatus>(
+        lateRead(), [](Session &it, const ControlStatus &status) {
+          it.respond(200, {{"upstreams", upstreamsToJson(status.Upstreams)}});
+        }));
+  }
+
+  void getRules(const std::string &) {
+    State->Backend.readRules(onResult<CurrentRules>(
+        lateRead(), [](Session &it, const CurrentRules &rules) {
+          it.respond(200, {{"rulesRevision", rules.RulesRevision.Value},
+                           {"rules", rules.Rules}});
+        }));
+  }
+
+  /// The checked rules of the body; answers the request itself if there are
+  /// none.
+  std::optional<RuleSet> readRuleSet(const json::object &body) {
+    const auto text = findText(body, "rules");
+    if (!text) {
+      fail(400, "bad_request", "'rules' is missing or no string");
+      return std::nullopt;
+    }
+    if (text->size() > MaxRulesBytes) {
+      fail(413, "too_large",
+           concat("the rules are longer than ", std::to_string(MaxRulesBytes),
+                  " bytes"));
+      return std::nullopt;
+    }
+    Findings findings;
+    auto rules = RuleSet::parse(*text, "rules", findings);
+    if (!rules)
+      respond(422, errorToJson("findings", "the rules have findings",
+                               findings.items()));
+    return rules;
+  }
+
+  std::optional<json::object> readBody() {
+    auto body = parseObject(Parser->get().body());
+    if (body.ok())
+      return *std::move(body);
+    fail(400, "bad_request", messageOf(body.status()));
+    return std::nullopt;
+  }
+
+  void checkRules(const std::string &team) {
+    const auto body = readBody();
+    if (!body)
+      return;
+    auto rules = readRuleSet(*body);
+    if (!rules)
+      return;
+    State->Backend.readRules(onResult<CurrentRules>(
+        lateRead(), [team, rules = *std::move(rules)](
+                        Session &it, const CurrentRules &current) {
+          Findings findings;
+          const auto before =
+              RuleSet::parse(current.Rules, "current rules", findings);
+          if (!before) {
+            it.fail(absl::InternalError(findings.format()));
+            return;
+          }
+          const auto changes = diffRules(*before, rules);
+          const absl::Status status = checkTeamMayApply(team, *before, changes);
+          if (!status.ok()) {
+            it.fail(status);
+            return;
+          }
+          it.respond(200, {{"rulesRevision", current.RulesRevision.Value},
+                           {"changes", formatChanges(changes)}});
+        }));
+  }
+
+  void applyRules(const std::string &team) {
+    const auto body = readBody();
+    if (!body)
+      return;
+    const auto operationId = findText(*body, "operationId");
+    const auto revision = findNumber(*body, "expectedRevision");
+    const auto person = findText(*body, "operator");
+    if (!operationId || operationId->empty() ||
+        operationId->size() > MaxOperationIdBytes ||
+        !isPrintableAscii(*operationId)) {
+      fail(400, "bad_request",
+           concat("'operationId' is not a string of 1 to ",
+                  std::to_string(MaxOperationIdBytes),
+                  " printable ASCII characters"));
+      return;
+    }
+    if (!revision) {
+      fail(400, "bad_request",
+           "'expectedRevision' is missing or no whole number");
+      return;
+    }
+    if (!person || person->empty() || person->size() > MaxOperatorBytes ||
+        !isOneLine(*person)) {
+      fail(400, "bad_request",
+           concat("'operator' is not a name of 1 to ",
+                  std::to_string(MaxOperatorBytes), " bytes"));
+      return;
+    }
+    const auto rules = readRuleSet(*body);
+    if (!rules)
+      return;
+    State->Backend.apply(
+        {*operationId, {*revision}, team, *person, rules->text()},
+        onResult<ApplyOutcome>(
+            absl::DeadlineExceededError(
+                "the outcome is not known yet; resend the same operation id"),
+            [](Session &it, const ApplyOutcome &outcome) {
+              it.respond(200, {{"rulesRevision", outcome.RulesRevision.Value},
+                               {"changes", outcome.Changes},
+                               {"repeated", outcome.Repeated}});
+            }));
+  }
+
+  void fail(const absl::Status &status) {
+    respond(errorKind(status.code()).HttpStatus, errorToJson(status));
+  }
+
+  void fail(unsigned httpStatus, std::string_view code,
+            std::string_view message) {
+    respond(httpStatus, errorToJson(code, message, {}));
+  }
+
+  void respond(unsigned httpStatus, const json::object &body) {
+    Response = {};
+    Response.result(httpStatus);
+    Response.version(11);
+    Response.set(http::field::content_type, "application/json");
+    Response.set(http::field::cache_control, "no-store");
+    if (httpStatus == 401)
+      Response.set(http::field::www_authenticate, "Bearer");
+    Response.keep_alive(KeepAlive);
+    Response.body() = json::serialize(body);
+    Response.prepare_payload();
+    arm(State->Options.RequestTimeout, [](Session &it) { it.close(); });
+    http::async_write(Socket, Response,
+                      [self = shared_from_this()](error_code ec, std::size_t) {
+                        self->onWritten(ec);
+                      });
+  }
+
+  void onWritten(error_code ec) {
+    if (State->Stopped || !Socket.is_open())
+      return;
+    disarm();
+    if (ec) {
+      close();
+    } else if (KeepAlive) {
+      readRequest();
+    } else {
+      Socket.shutdown(tcp::socket::shutdown_send, ec);
+      arm(MaxDrainTime, [](Session &it) { it.close(); });
+      drain();
+    }
+  }
+
+  void drain() {
+    Socket.async_read_some(
+        asio::buffer(Drained),
+        [self = shared_from_this()](error_code ec, std::size_t n) {
+          self->DrainedBytes += n;
+          if (ec || self->DrainedBytes > MaxDrainedBytes)
+            self->close();
+          else
+            self->drain();
+        });
+  }
+
+  std::shared_ptr<ServerState> State;
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  /// Changes whenever the timer is armed or disarmed; answers and timeouts of
+  /// an earlier turn are dropped.
+  std::uint64_t Turn = 0;
+  boost::beast::flat_buffer Buffer{MaxAdminBodyBytes + MaxHeaderBytes};
+  std::optional<http::request_parser<http::string_body>> Parser;
+  http::response<http::string_body> Response;
+  std::array<char, 16 * 1024> Drained{};
+  std::size_t DrainedBytes = 0;
+  bool KeepAlive = false;
+  bool TimedOut = false;
+};
+
+void onAccept(const std::shared_ptr<ServerState> &state, error_code ec,
+              tcp::socket socket) {
+  state->Accepting = false;
+  if (state->Stopped)
+    return;
+  if (!ec) {
+    auto session = std::make_shared<Session>(state, std::move(socket));
+    state->Sessions.insert(session);
+    session->readRequest();
+    acceptNext(state);
+    return;
+  }
+  state->AcceptTimer.expires_after(AcceptRetryDelay);
+  state->AcceptTimer.async_wait([state](error_code error) {
+    if (!error)
+      acceptNext(state);
+  });
+}
+
+void acceptNext(const std::shared_ptr<ServerState> &state) {
+  if (state->Stopped || state->Accepting ||
+      state->Sessions.size() >= state->Options.MaxConnections)
+    return;
+  state->Accepting = true;
+  state->Acceptor.async_accept([state](error_code ec, tcp::socket socket) {
+    onAccept(state, ec, std::move(socket));
+  });
+}
+
+class HttpAdminServer final : public AdminServer {
+public:
+  explicit HttpAdminServer(std::shared_ptr<ServerState> state)
+      : State(std::move(state)) {}
+  ~HttpAdminServer() override { shutDown(); }
+
+  Endpoint endpoint() const override { return State->Options.Listen; }
+  std::size_t connections() const override { return State->Sessions.size(); }
+  void stop() override { shutDown(); }
+
+private:
+  void shutDown() {
+    State->Stopped = true;
+    error_code ec;
+    State->Acceptor.close(ec);
+    State->AcceptTimer.cancel();
+    const auto sessions = std::move(State->Sessions);
+    State->Sessions.clear();
+    for (const auto &it : sessions)
+      it->close();
+  }
+
+  std::shared_ptr<ServerState> State;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<AdminServer>>
+startAdminServer(asio::io_context &context, AdminServerOptions options,
+                 AdminBackend &backend) {
+  if (options.Credentials.empty())
+    return absl::InvalidArgumentError(
+        "the administration API needs a credential");
+  for (const TeamCredential &it : options.Credentials)
+    if (it.Team.empty() || it.Secret.empty())
+      return absl::InvalidArgumentError("a credential or its team is empty");
+  auto state =
+      std::make_shared<ServerState>(context, std::move(options), backend);
+  Endpoint &listen = state->Options.Listen;
+  const tcp::endpoint endpoint(asio::ip::address_v4(listen.Address),
+                               listen.Port);
+  error_code ec;
+  state->Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    state->Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    state->Acceptor.bind(endpoint, ec);
+  if (!ec)
+    state->Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return absl::UnavailableError(
+        concat("cannot listen on ", toString(listen), ": ", ec.message()));
+  listen.Port = state->Acceptor.local_endpoint().port();
+  acceptNext(state);
+  return std::make_unique<HttpAdminServer>(std::move(state));
+}
+
+} // namespace pistachio
