Add file storage for the log and the fault matrix of the group

The log must survive restarts, torn writes and a full disk. Each record carries the offset up to which its segment was synced. A bad record that a later record proves to have been synced is damage and ends in DataLoss with file and offset; any other is the end of a write that the crash interrupted. Telling them by their position alone was ruled out, because a crash may keep the last record of a batch and lose the first.

Term and vote lie in two slots that are overwritten in turn, so that a full disk does not stop an election.

--- a/Source/Core/Consensus/Election.cpp
+++ b/Source/Core/Consensus/Election.cpp
@@ -21,7 +21,7 @@
   Peers.clear();
   Reads.clear();
   RoundSentAt.clear();
-  Sending.reset();
+  LatestSnapshot.reset();
   resetElectionDeadline(now);
   return true;
 }
--- /dev/null
+++ b/Source/Core/Consensus/FileStorage/HardStateFile.cpp
@@ -0,0 +1,58 @@
+#include "Consensus/FileStorage/HardStateFile.h"
+
+#include <fcntl.h>
+
+namespace pistachio {
+namespace {
+
+/// Slots lie in different sectors, so that a torn write reaches only one.
+constexpr std::size_t SlotStride = 4096;
+constexpr std::size_t SlotCount = 2;
+
+} // namespace
+
+absl::Status HardStateFile::create(const std::string &folder) {
+  Bytes buf(SlotStride * SlotCount);
+  const Bytes slot = encodeHardState({});
+  std::ranges::copy(slot, buf.begin());
+  return writeFileAtomically(folder, Name, buf);
+}
+
+absl::StatusOr<HardStateFile> HardStateFile::open(const std::string &folder) {
+  auto file = File::open(folder + "/" + Name, O_RDWR);
+  if (!file.ok())
+    return file.status();
+  const auto buf = file->readAll();
+  if (!buf.ok())
+    return buf.status();
+  std::optional<HardStateSlot> latest;
+  for (std::size_t i = 0; i < SlotCount; ++i) {
+    const std::size_t at = std::min(i * SlotStride, buf->size());
+    const auto slot = decodeHardState(std::span(*buf).subspan(at));
+    if (slot && (!latest || slot->Sequence > latest->Sequence))
+      latest = slot;
+  }
+  if (!latest)
+    return absl::DataLossError(file->path() + ": both slots are damaged");
+  return HardStateFile(*std::move(file), *latest);
+}
+
+absl::Status HardStateFile::save(const HardState &state) {
+  // The slot that was synced last stays untouched until the other one is.
+  if (!Dirty)
+    ++Current.Sequence;
+  Dirty = true;
+  Current.State = state;
+  return Handle.writeAt(Current.Sequence % SlotCount * SlotStride,
+                        encodeHardState(Current));
+}
+
+absl::Status HardStateFile::sync() {
+  if (!Dirty)
+    return absl::OkStatus();
+  absl::Status status = Handle.sync();
+  Dirty = !status.ok();
+  return status;
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Consensus/FileStorage/SegmentLog.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Consensus/FileStorage/File.h"
+#include "Consensus/FileStorage/Records.h"
+
+#include <deque>
+
+namespace pistachio {
+
+/// The segment files of one folder. The first name in order holds the oldest
+/// entries.
+class SegmentLog {
+public:
+  explicit SegmentLog(std::string folder) : Folder(std::move(folder)) {}
+
+  /// Reads the segments of the given first indexes, in order.
+  absl::StatusOr<std::vector<LogEntry>>
+  open(std::span<const std::uint64_t> firstIndexes);
+  /// All or nothing if the disk is full.
+  absl::Status append(std::span<const LogEntry> entries);
+  absl::Status truncateFrom(std::uint64_t index);
+  /// Removes the segments that hold only entries up to \p index.
+  absl::Status dropUpTo(std::uint64_t index);
+  absl::Status dropAll();
+  absl::Status create(std::uint64_t firstIndex);
+  absl::Status sync();
+
+  static std::string name(std::uint64_t firstIndex);
+
+private:
+  struct Segment {
+    std::uint64_t FirstIndex = 0;
+    File Handle;
+    std::uint64_t Size = 0;
+    std::uint64_t Synced = 0;
+    /// Start of each record.
+    std::vector<std::uint64_t> Offsets;
+  };
+
+  absl::Status load(Segment &segment, std::span<const std::byte> buf, bool last,
+                    std::vector<LogEntry> &out);
+  absl::Status removeLast();
+
+  std::string Folder;
+  std::deque<Segment> Segments;
+};
+
+} // namespace pistachio
--- a/Source/Core/Consensus/Node.h
+++ b/Source/Core/Consensus/Node.h
@@ -19,8 +19,9 @@
   /// Match at the last heartbeat; unchanged means that what is in flight was
   /// lost.
   std::uint64_t MatchAtHeartbeat = 0;
-  /// Next byte of the snapshot under transfer; none while entries are sent.
-  std::optional<std::uint64_t> SnapshotOffset;
+  /// Snapshot under transfer and its next byte; none while entries are sent.
+  std::shared_ptr<const Snapshot> Sending;
+  std::uint64_t SnapshotOffset = 0;
   std::uint64_t SnapshotOffsetAtHeartbeat = 0;
   bool SnapshotPartDue = false;
   /// Until the first success, one request is in flight and carries no entries.
@@ -128,6 +129,7 @@
   void advanceCommit();
 
   // SnapshotTransfer.cpp
+  void beginSnapshot(Progress &peer);
   void sendSnapshot(Progress &peer, ConsensusOutput &output);
   void handle(const SnapshotPart &part, TimePoint now, ConsensusOutput &output);
   void handle(const SnapshotReply &reply, TimePoint now,
@@ -180,7 +182,8 @@
   std::map<std::uint64_t, TimePoint> RoundSentAt;
   /// Round that a read waits for -> index that it must see.
   std::map<std::uint64_t, std::uint64_t> Reads;
-  std::optional<Snapshot> Sending;
+  /// Shared by the transfers that began with it.
+  std::shared_ptr<const Snapshot> LatestSnapshot;
 };
 
 } // namespace pistachio
--- a/Source/Core/Consensus/Replication.cpp
+++ b/Source/Core/Consensus/Replication.cpp
@@ -33,11 +33,9 @@
   if (peer.Match == peer.MatchAtHeartbeat && !peer.Probing)
     peer.Next = peer.Match + 1;
   peer.MatchAtHeartbeat = peer.Match;
-  if (!peer.SnapshotOffset)
-    return;
-  if (*peer.SnapshotOffset <= peer.SnapshotOffsetAtHeartbeat)
+  if (peer.SnapshotOffset <= peer.SnapshotOffsetAtHeartbeat)
     peer.SnapshotPartDue = true;
-  peer.SnapshotOffsetAtHeartbeat = *peer.SnapshotOffset;
+  peer.SnapshotOffsetAtHeartbeat = peer.SnapshotOffset;
 }
 
 void Node::sendAppend(Progress &peer, bool heartbeat, ConsensusOutput &output) {
@@ -48,7 +46,7 @@
       sendEntries(peer, 0, output);
     return;
   }
-  peer.SnapshotOffset.reset();
+  peer.Sending.reset();
   if (peer.Probing || peer.LostLog) {
     if (heartbeat)
       sendEntries(peer, 0, output);
--- a/Source/Core/Consensus/SnapshotTransfer.cpp
+++ b/Source/Core/Consensus/SnapshotTransfer.cpp
@@ -4,36 +4,38 @@
 
 namespace pistachio {
 
-// The leader keeps sending the snapshot that it began with, even if it makes a
+// A transfer keeps the snapshot that it began with, even if the leader makes a
 // newer one meanwhile.
-void Node::sendSnapshot(Progress &peer, ConsensusOutput &output) {
-  if (!peer.SnapshotOffset) {
-    const auto busy = [](const auto &it) {
-      return it.second.SnapshotOffset.has_value();
-    };
-    if (!Sending || std::ranges::none_of(Peers, busy))
-      Sending = Storage.snapshot();
-    if (!Sending)
+void Node::beginSnapshot(Progress &peer) {
+  if (!LatestSnapshot ||
+      LatestSnapshot->LastIndex + 1 != Storage.firstIndex()) {
+    auto latest = Storage.snapshot();
+    if (!latest)
       return;
-    peer.SnapshotOffset = 0;
-    peer.SnapshotPartDue = true;
+    LatestSnapshot = std::make_shared<const Snapshot>(*std::move(latest));
   }
-  if (!std::exchange(peer.SnapshotPartDue, false))
+  peer.Sending = LatestSnapshot;
+  peer.SnapshotOffset = 0;
+  peer.SnapshotPartDue = true;
+}
+
+void Node::sendSnapshot(Progress &peer, ConsensusOutput &output) {
+  if (!peer.Sending)
+    beginSnapshot(peer);
+  if (!peer.Sending || !std::exchange(peer.SnapshotPartDue, false))
     return;
-  const Bytes &content = Sending->Content;
-  const auto offset =
-      std::min<std::uint64_t>(*peer.SnapshotOffset, content.size());
-  const std::span<const std::byte> rest = std::span(content).subspan(offset);
+  const Snapshot &from = *peer.Sending;
+  const auto rest = std::span(from.Content).subspan(peer.SnapshotOffset);
   const auto part = rest.first(std::min(rest.size(), MaxSnapshotPartBytes));
   send(peer.Peer,
        SnapshotPart{Self,
                     State.Term,
-                    Sending->LastIndex,
-                    Sending->LastTerm,
-                    offset,
-                    content.size(),
-                    checksum32(content),
-                    encodeMembers(Sending->Members),
+                    from.LastIndex,
+                    from.LastTerm,
+                    peer.SnapshotOffset,
+                    from.Content.size(),
+                    checksum32(from.Content),
+                    encodeMembers(from.Members),
                     {part.begin(), part.end()}},
        output);
 }
@@ -108,10 +110,10 @@
       it == Peers.end())
     return;
   Progress &peer = it->second;
-  if (!peer.SnapshotOffset || !Sending || reply.LastIndex != Sending->LastIndex)
+  if (!peer.Sending || reply.LastIndex != peer.Sending->LastIndex)
     return;
-  if (reply.Received >= Sending->Content.size()) {
-    peer.SnapshotOffset.reset();
+  if (reply.Received >= peer.Sending->Content.size()) {
+    peer.Sending.reset();
     peer.Probing = false;
     peer.Match = std::max(peer.Match, reply.LastIndex);
     peer.Next = std::max(peer.Next, peer.Match + 1);
@@ -119,7 +121,7 @@
   } else {
     // Only progress is answered at once, so that repeated replies do not
     // multiply; the rest waits for the next heartbeat.
-    peer.SnapshotPartDue = reply.Received > *peer.SnapshotOffset;
+    peer.SnapshotPartDue = reply.Received > peer.SnapshotOffset;
     peer.SnapshotOffset = reply.Received;
   }
   sendAppend(peer, /*heartbeat=*/false, output);
--- /dev/null
+++ b/Source/UnitTests/Consensus/GroupDriver.h
@@ -0,0 +1,456 @@
+#pragma once
+
+#include "Consensus/Consensus.h"
+#include "Consensus/MemoryStorage/MemoryLogStorage.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+
+namespace pistachio {
+
+/// Thrown by the storage fake to stop a member in the middle of a step.
+struct Crash {};
+
+enum class Step : std::uint8_t {
+  None,
+  BeforeAppend,
+  AfterAppend,
+  BeforeSync,
+  AfterSync,
+  BeforeSend
+};
+
+/// Loses at a crash what was not synced.
+class CrashStorage final : public LogStorage {
+public:
+  explicit CrashStorage(MemberId id) : Live(id), Durable(id) {}
+
+  Step CrashAt = Step::None;
+  bool DiskFull = false;
+  /// Control: reports success without making anything durable.
+  bool IgnoresSync = false;
+
+  void crash() { Live = Durable; }
+  void pass(Step step) {
+    if (CrashAt == step) {
+      CrashAt = Step::None;
+      throw Crash{};
+    }
+  }
+
+  MemberId identity() const override { return Live.identity(); }
+  HardState hardState() const override { return Live.hardState(); }
+  std::optional<Snapshot> snapshot() const override { return Live.snapshot(); }
+  std::uint64_t firstIndex() const override { return Live.firstIndex(); }
+  std::uint64_t lastIndex() const override { return Live.lastIndex(); }
+  std::uint64_t term(std::uint64_t i) const override { return Live.term(i); }
+  std::vector<LogEntry> entries(std::uint64_t first, std::size_t maxEntries,
+                                std::size_t maxBytes) const override {
+    return Live.entries(first, maxEntries, maxBytes);
+  }
+  absl::Status append(std::span<const LogEntry> entries) override {
+    pass(Step::BeforeAppend);
+    if (DiskFull)
+      return absl::ResourceExhaustedError("disk full");
+    absl::Status status = Live.append(entries);
+    pass(Step::AfterAppend);
+    return status;
+  }
+  absl::Status truncateFrom(std::uint64_t index) override {
+    return Live.truncateFrom(index);
+  }
+  absl::Status saveHardState(const HardState &state) override {
+    return Live.saveHardState(state);
+  }
+  absl::Status saveSnapshot(const Snapshot &snapshot) override {
+    return Live.saveSnapshot(snapshot);
+  }
+  absl::Status sync() override {
+    pass(Step::BeforeSync);
+    if (!IgnoresSync)
+      Durable = Live;
+    pass(Step::AfterSync);
+    return absl::OkStatus();
+  }
+
+private:
+  MemoryLogStorage Live;
+  MemoryLogStorage Durable;
+};
+
+/// Shares are per 1000 messages; a delay range wider than the step reorders.
+struct NetworkRow {
+  const char *Name = "Clean";
+  unsigned Lost = 0;
+  unsigned Repeated = 0;
+  unsigned MaxDelayMs = 1;
+};
+
+// Names the row in the output, where addresses would differ at each run.
+inline void
+PrintTo(const NetworkRow &row, // NOLINT(readability-identifier-naming)
+        std::ostream *out) {
+  *out << row.Name;
+}
+
+/// A group of members with fake network, disks and time. All checks look at
+/// what members emit as committed and at what proposers and readers are told.
+class Group {
+public:
+  struct Host {
+    std::unique_ptr<CrashStorage> Disk;
+    std::unique_ptr<ConsensusNode> Node;
+    /// The state machine: index and number of each command.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> Applied;
+    std::uint64_t LastApplied = 0;
+    std::map<std::uint64_t, std::uint64_t> Reads;
+  };
+
+  Group(std::size_t n, std::uint64_t seed, NetworkRow network = {})
+      : Network(network), Seed(seed), Random(seed) {
+    for (std::size_t i = 0; i < n; ++i) {
+      addHost();
+      Initial.push_back(member(i));
+    }
+    for (std::size_t i = 0; i < n; ++i)
+      start(i);
+  }
+
+  std::size_t addHost() {
+    Hosts.emplace_back();
+    Hosts.back().Disk = std::make_unique<CrashStorage>(MemberId{NextId++});
+    return Hosts.size() - 1;
+  }
+  Member member(std::size_t i) const {
+    return {Hosts[i].Disk->identity(),
+            {0x7F000001, static_cast<std::uint16_t>(FirstPort + i)},
+            true};
+  }
+  ConsensusNode &node(std::size_t i) { return *Hosts[i].Node; }
+
+  void start(std::size_t i) { start(i, Initial); }
+  void start(std::size_t i, const std::vector<Member> &initial) {
+    Host &it = Hosts[i];
+    ConsensusOptions options;
+    options.Seed = Seed;
+    options.InitialMembers = initial;
+    it.Applied.clear();
+    it.LastApplied = 0;
+    it.Reads.clear();
+    it.Node = makeConsensusNode(options, *it.Disk, Now);
+  }
+  void crash(std::size_t i) {
+    Hosts[i].Node.reset();
+    Hosts[i].Disk->crash();
+  }
+  /// A wiped folder gets a new identity at its next use.
+  void wipe(std::size_t i) {
+    crash(i);
+    Hosts[i].Disk = std::make_unique<CrashStorage>(MemberId{NextId++});
+  }
+  /// Control: the disk is empty but keeps its identity.
+  void emptyUnderSameIdentity(std::size_t i) {
+    const MemberId id = Hosts[i].Disk->identity();
+    crash(i);
+    Hosts[i].Disk = std::make_unique<CrashStorage>(id);
+  }
+
+  void cut(std::size_t from, std::size_t to) { Cuts.insert({from, to}); }
+  void isolate(std::size_t i, bool incoming, bool outgoing) {
+    for (std::size_t j = 0; j < Hosts.size(); ++j) {
+      if (incoming)
+        cut(j, i);
+      if (outgoing)
+        cut(i, j);
+    }
+  }
+  void heal() { Cuts.clear(); }
+
+  void run(Duration time) {
+    for (const TimePoint end = Now + time; Now < end;) {
+      Now += StepTime;
+      deliverDue();
+      for (std::size_t i = 0; i < Hosts.size(); ++i)
+        act(i, [&](ConsensusNode &it) { return it.tick(Now); });
+      checkLeases();
+      checkReads();
+    }
+  }
+
+  /// The leader of the highest term.
+  std::optional<std::size_t> leader() const {
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < Hosts.size(); ++i) {
+      const auto &it = Hosts[i].Node;
+      if (it && it->role() == Role::Leader &&
+          (!best || it->term() > Hosts[*best].Node->term()))
+        best = i;
+    }
+    return best;
+  }
+  std::optional<std::size_t> waitForLeader(Duration limit = Duration(20000)) {
+    for (const TimePoint end = Now + limit; !leader() && Now < end;)
+      run(StepTime);
+    return leader();
+  }
+
+  absl::Status propose(std::size_t i, std::size_t payloadBytes = 8) {
+    Bytes payload(std::max<std::size_t>(payloadBytes, 8));
+    const std::uint64_t number = ++LastNumber;
+    for (std::size_t k = 0; k < 8; ++k)
+      payload[k] = static_cast<std::byte>(number >> (8 * k));
+    absl::Status status;
+    act(i, [&](ConsensusNode &it) {
+      ConsensusOutput out;
+      const std::uint64_t term = it.term();
+      const auto index = it.propose(std::span(&payload, 1), Now, out);
+      status = index.status();
+      if (index.ok())
+        Waiting[{i, *index, term}] = number;
+      return out;
+    });
+    return status;
+  }
+  /// Proposes at whoever leads; false if there is no leader in time.
+  bool proposeMany(int n, Duration pause = Duration(10)) {
+    for (int k = 0; k < n; ++k) {
+      const auto i = waitForLeader();
+      if (!i)
+        return false;
+      (void)propose(*i);
+      run(pause);
+    }
+    return true;
+  }
+  absl::Status change(std::size_t i,
+                      absl::Status (ConsensusNode::*call)(MemberId, TimePoint,
+                                                          ConsensusOutput &),
+                      MemberId id) {
+    absl::Status status;
+    act(i, [&](ConsensusNode &it) {
+      ConsensusOutput out;
+      status = (it.*call)(id, Now, out);
+      return out;
+    });
+    return status;
+  }
+  absl::Status addLearner(std::size_t i, const Member &member) {
+    absl::Status status;
+    act(i, [&](ConsensusNode &it) {
+      ConsensusOutput out;
+      status = it.addLearner(member, Now, out);
+      return out;
+    });
+    return status;
+  }
+  void read(std::size_t i) {
+    const std::uint64_t atLeast = Told.empty() ? 0 : Told.rbegin()->first;
+    act(i, [&](ConsensusNode &it) {
+      ConsensusOutput out;
+      if (const auto id = it.startRead(Now, out); id.ok())
+        Hosts[i].Reads[*id] = atLeast;
+      return out;
+    });
+  }
+  absl::Status compact(std::size_t i) {
+    Bytes content;
+    for (const auto &[index, number] : Hosts[i].Applied) {
+      for (std::size_t k = 0; k < 16; ++k)
+        content.push_back(
+            static_cast<std::byte>((k < 8 ? index : number) >> (8 * (k % 8))));
+    }
+    content.resize(content.size() + SnapshotPadding);
+    return node(i).compact(content);
+  }
+
+  /// Heals and restarts everything; then all running members must reach the
+  /// same state with everything that a proposer was told is accepted.
+  void settle() {
+    heal();
+    Network = {};
+    for (std::size_t i = 0; i < Hosts.size(); ++i) {
+      Hosts[i].Disk->CrashAt = Step::None;
+      if (!Hosts[i].Node)
+        start(i);
+    }
+    run(Duration(6000));
+    const std::size_t told = Told.size();
+    if (!proposeMany(3) || (run(Duration(2000)), Told.size() == told))
+      Violations.push_back("the healed group accepts nothing");
+    const auto lead = leader();
+    if (!lead)
+      return;
+    for (const Member &it : node(*lead).members())
+      checkComplete(it);
+  }
+
+  std::string violations() const {
+    std::ostringstream out;
+    for (const std::string &it : Violations)
+      out << it << "\n";
+    return out.str();
+  }
+
+  std::vector<Host> Hosts;
+  TimePoint Now{Duration(1000)};
+  std::vector<std::string> Violations;
+  /// Index -> number of what proposers were told is accepted.
+  std::map<std::uint64_t, std::uint64_t> Told;
+  std::size_t ReadsServed = 0;
+  /// Zeros that compact() appends, for a snapshot of several parts.
+  std::size_t SnapshotPadding = 0;
+  /// Control: sees each message before it is delivered.
+  std::function<void(ConsensusMessage &)> Alter;
+  std::mt19937_64 &random() { return Random; }
+  NetworkRow Network;
+
+private:
+  static constexpr std::size_t FirstPort = 9000;
+  static constexpr Duration StepTime{10};
+
+  struct InFlight {
+    std::size_t From;
+    std::size_t To;
+    ConsensusMessage Message;
+  };
+
+  template <typename Call> void act(std::size_t i, Call call) {
+    if (!Hosts[i].Node)
+      return;
+    try {
+      take(i, call(*Hosts[i].Node));
+    } catch (const Crash &) {
+      crash(i);
+    }
+  }
+
+  void take(std::size_t i, ConsensusOutput out) {
+    if (out.Restored)
+      restore(i, *out.Restored);
+    for (const LogEntry &it : out.Committed)
+      apply(i, it);
+    for (OutgoingMessage &it : out.Messages) {
+      Hosts[i].Disk->pass(Step::BeforeSend);
+      post(i, it);
+    }
+  }
+
+  std::optional<std::size_t> route(const Member &to) const {
+    if (to.Address.Port != 0)
+      return to.Address.Port - FirstPort;
+    for (std::size_t i = 0; i < Hosts.size(); ++i) {
+      if (Hosts[i].Disk->identity() == to.Id)
+        return i;
+    }
+    return std::nullopt;
+  }
+  void post(std::size_t from, OutgoingMessage &out) {
+    const auto to = route(out.To);
+    if (!to || Cuts.contains({from, *to}))
+      return;
+    const int copies = Random() % 1000 < Network.Repeated ? 2 : 1;
+    for (int k = 0; k < copies; ++k) {
+      if (Random() % 1000 < Network.Lost)
+        continue;
+      const Duration delay(1 + Random() % Network.MaxDelayMs);
+      Wire.emplace(Now + delay, InFlight{from, *to, out.Message});
+    }
+  }
+  void deliverDue() {
+    while (!Wire.empty() && Wire.begin()->first <= Now) {
+      InFlight it = std::move(Wire.begin()->second);
+      Wire.erase(Wire.begin());
+      if (Alter)
+        Alter(it.Message);
+      act(it.To,
+          [&](ConsensusNode &to) { return to.receive(it.Message, Now); });
+    }
+  }
+
+  static std::uint64_t load(const Bytes &in, std::size_t at) {
+    std::uint64_t value = 0;
+    for (std::size_t k = 0; k < 8; ++k)
+      value |= std::uint64_t{static_cast<std::uint8_t>(in[at + k])} << (8 * k);
+    return value;
+  }
+  void restore(std::size_t i, const Snapshot &snapshot) {
+    Host &it = Hosts[i];
+    it.Applied.clear();
+    for (std::size_t at = 0; at + 16 <= snapshot.Content.size(); at += 16) {
+      if (load(snapshot.Content, at) == 0)
+        break;
+      it.Applied.emplace_back(load(snapshot.Content, at),
+                              load(snapshot.Content, at + 8));
+      agree(i, it.Applied.back().first, it.Applied.back().second);
+    }
+    it.LastApplied = snapshot.LastIndex;
+  }
+  void apply(std::size_t i, const LogEntry &entry) {
+    Host &it = Hosts[i];
+    if (entry.Index != it.LastApplied + 1)
+      Violations.push_back("host " + std::to_string(i) + " skips to index " +
+                           std::to_string(entry.Index));
+    it.LastApplied = entry.Index;
+    const bool isCommand = entry.Kind == EntryKind::Command;
+    const std::uint64_t number = isCommand ? load(entry.Payload, 0) : 0;
+    agree(i, entry.Index, number);
+    if (isCommand)
+      it.Applied.emplace_back(entry.Index, number);
+    if (Waiting.contains({i, entry.Index, entry.Term}))
+      Told[entry.Index] = number;
+  }
+  void agree(std::size_t i, std::uint64_t index, std::uint64_t number) {
+    const auto [it, isNew] = Agreed.emplace(index, number);
+    if (!isNew && it->second != number)
+      Violations.push_back("host " + std::to_string(i) +
+                           " commits another entry at index " +
+                           std::to_string(index));
+  }
+  void checkLeases() {
+    std::size_t n = 0;
+    for (const Host &it : Hosts)
+      n += it.Node && it.Node->hasLeaderLease(Now) ? 1 : 0;
+    if (n > 1)
+      Violations.push_back("two leaders hold a lease");
+  }
+  void checkReads() {
+    for (Host &it : Hosts) {
+      std::erase_if(it.Reads, [&](const auto &read) {
+        if (!it.Node || !it.Node->isReadConfirmed(read.first))
+          return false;
+        ++ReadsServed;
+        if (it.LastApplied < read.second)
+          Violations.push_back("a read misses an accepted change");
+        return true;
+      });
+    }
+  }
+  void checkComplete(const Member &member) {
+    const Host &it = Hosts[*route(member)];
+    std::map<std::uint64_t, std::uint64_t> state(it.Applied.begin(),
+                                                 it.Applied.end());
+    for (const auto &[index, number] : Told) {
+      if (state[index] != number)
+        Violations.push_back("port " + std::to_string(member.Address.Port) +
+                             " lacks the accepted change at index " +
+                             std::to_string(index));
+    }
+  }
+
+  std::uint64_t Seed;
+  std::mt19937_64 Random;
+  std::uint64_t NextId = 101;
+  std::uint64_t LastNumber = 0;
+  std::vector<Member> Initial;
+  std::multimap<TimePoint, InFlight> Wire;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts;
+  std::map<std::tuple<std::size_t, std::uint64_t, std::uint64_t>, std::uint64_t>
+      Waiting;
+  std::map<std::uint64_t, std::uint64_t> Agreed;
+};
+
+} // namespace pistachio
