Test the replicated control group and lease authority against faults

Ruled out: sockets in these tests; time and network are simulated, so that each seed gives the same run.

--- a/Source/UnitTests/Control/ControlScript.h
+++ b/Source/UnitTests/Control/ControlScript.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Control/Control.h"
-#include "NodeTable.h"
+#include "Control/NodeTable.h"
 
 #include <cstdint>
 #include <memory>
--- /dev/null
+++ b/Source/UnitTests/ControlDaemon/LeaseWorld.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "ControlDaemon/LeaseAuthority.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pistachio {
+
+/// A leader that accepts a change every 100 ms, a member that follows it with a
+/// delay, and a node that renews its lease at the member. At 5 s the member is
+/// cut off from the leader, without noticing.
+struct LeaseWorld {
+  std::uint64_t Seed;
+  /// The mechanism under test; without it the member grants full leases by its
+  /// own judgement.
+  bool AsksLeader = true;
+
+  static constexpr int LeaseMs = 3000;
+  static constexpr int CutMs = 5000;
+
+  /// Times at which the node held a lease although a change was accepted more
+  /// than one lease time ago that the member did not have.
+  std::vector<std::string> run() const {
+    constexpr int StepMs = 10;
+    std::mt19937_64 random(Seed);
+    LeaseAuthority authority{Duration(LeaseMs)};
+    struct Reply {
+      int ArrivesAt;
+      int SentAt;
+      std::uint64_t CommitIndex;
+    };
+    std::vector<Reply> replies;
+    std::vector<int> acceptedAt{0};
+    std::uint64_t applied = 0;
+    int leaseEnd = 0;
+    int leasedSteps = 0;
+    std::vector<std::string> violations;
+    for (int at = 0; at < 4 * CutMs; at += StepMs) {
+      if (at % 100 == 0)
+        acceptedAt.push_back(at);
+      if (at < CutMs) {
+        if (random() % 8 == 0)
+          applied += (acceptedAt.size() - 1 - applied) * (random() % 2);
+        // The member's question meets the leader on the way of the reply.
+        if (at % 250 == 0 && random() % 4 != 0)
+          replies.push_back({at + static_cast<int>(random() % 900), at,
+                             acceptedAt.size() - 1});
+      }
+      std::erase_if(replies, [&](const Reply &it) {
+        if (it.ArrivesAt > at || it.ArrivesAt >= CutMs)
+          return false;
+        authority.onConfirmed(time(it.SentAt), it.CommitIndex);
+        return true;
+      });
+      if (at % 500 == 0) {
+        const Duration validity = AsksLeader
+                                      ? authority.validity(time(at), applied)
+                                      : Duration(LeaseMs);
+        leaseEnd = std::max(leaseEnd, at + static_cast<int>(validity.count()));
+      }
+      const bool isLeased = at < leaseEnd;
+      leasedSteps += isLeased ? 1 : 0;
+      const bool isBehind = applied + 1 < acceptedAt.size();
+      if (isLeased && isBehind && at - acceptedAt[applied + 1] > LeaseMs)
+        violations.push_back("at " + std::to_string(at) + " ms");
+    }
+    // A member that never grants would satisfy the rest.
+    if (leasedSteps * StepMs < CutMs / 2)
+      violations.push_back("the node was hardly ever leased");
+    return violations;
+  }
+
+private:
+  static TimePoint time(int ms) { return TimePoint{Duration(ms)}; }
+};
+
+} // namespace pistachio
