--- a/Source/UnitTests/Consensus/GroupDriver.h
+++ b/Source/UnitTests/Consensus/GroupDriver.h
@@ -247,6 +247,10 @@
     });
     return status;
   }
+  /// Control: delivers a message that nobody sent.
+  void inject(std::size_t i, const ConsensusMessage &message) {
+    act(i, [&](ConsensusNode &it) { return it.receive(message, Now); });
+  }
   void read(std::size_t i) {
     const std::uint64_t atLeast = Told.empty() ? 0 : Told.rbegin()->first;
     act(i, [&](ConsensusNode &it) {
--- a/Source/UnitTests/Consensus/GroupFaultTest.cpp
+++ b/Source/UnitTests/Consensus/GroupFaultTest.cpp
@@ -106,14 +106,15 @@
   ASSERT_TRUE(group.proposeMany(5));
   const std::size_t lead = *group.leader();
   const std::size_t cut = row.Leader ? lead : followerOf(group);
+  const std::size_t served = group.ReadsServed;
   group.isolate(cut, row.Incoming, row.Outgoing);
+  group.read(cut);
   group.run(Settled);
   const auto working = group.leader();
   ASSERT_TRUE(working);
   EXPECT_EQ(*working == lead, !row.Leader);
   const std::uint64_t term = group.node(*working).term();
   ASSERT_TRUE(group.proposeMany(50));
-  const std::size_t served = group.ReadsServed;
   group.read(cut);
   group.run(Long);
   EXPECT_EQ(group.ReadsServed, served) << "the cut member served a read";
--- /dev/null
+++ b/Source/UnitTests/Consensus/NodeTest.cpp
@@ -0,0 +1,129 @@
+#include "GroupDriver.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachio {
+namespace {
+
+// Guards against a member list that a peer can make the decoder misread.
+TEST(MemberCodecTest, RoundTripAndRefusal) {
+  const std::vector<Member> members = {{MemberId{1}, {2, 3}, true},
+                                       {MemberId{4}, {5, 6}, false}};
+  Bytes buf = encodeMembers(members);
+  EXPECT_EQ(*decodeMembers(buf), members);
+  buf.back() = std::byte{2};
+  EXPECT_FALSE(decodeMembers(buf).ok());
+  buf.pop_back();
+  EXPECT_FALSE(decodeMembers(buf).ok());
+}
+
+// Guards against a site with one instance that has to wait for others.
+TEST(NodeTest, GroupOfOneCommitsAtOnce) {
+  Group group(1, 21);
+  group.run(Duration(20));
+  ASSERT_EQ(group.leader(), 0U);
+  EXPECT_TRUE(group.node(0).hasLeaderLease(group.Now));
+  ASSERT_TRUE(group.propose(0).ok());
+  EXPECT_EQ(group.Told.size(), 1U);
+  group.read(0);
+  group.run(Duration(10));
+  EXPECT_EQ(group.ReadsServed, 1U);
+}
+
+// Guards against a group that grows from one instance and cannot elect a leader
+// after the founder has restarted.
+TEST(NodeTest, GroupGrowsFromOne) {
+  Group group(1, 22);
+  for (std::size_t i = 1; i < 3; ++i) {
+    ASSERT_TRUE(group.proposeMany(5));
+    group.start(group.addHost(), {});
+    ASSERT_TRUE(group.addLearner(0, group.member(i)).ok());
+    group.run(Duration(1000));
+    ASSERT_TRUE(
+        group.change(0, &ConsensusNode::promote, group.member(i).Id).ok());
+    group.crash(0);
+    group.run(Duration(100));
+    group.start(0);
+    ASSERT_TRUE(group.waitForLeader());
+    group.run(Duration(1000));
+    ASSERT_EQ(group.node(*group.leader()).members().size(), i + 1);
+    while (*group.leader() != 0) {
+      group.crash(*group.leader());
+      group.run(Duration(3000));
+      for (std::size_t k = 0; k <= i; ++k) {
+        if (!group.Hosts[k].Node)
+          group.start(k, {});
+      }
+      ASSERT_TRUE(group.waitForLeader());
+      group.run(Duration(1000));
+    }
+  }
+  group.settle();
+  EXPECT_EQ(group.violations(), "");
+}
+
+// Guards against membership requests that are accepted in a state in which they
+// could split the group, and against codes that the daemon cannot act on.
+TEST(NodeTest, MembershipRefusals) {
+  using absl::StatusCode;
+  Group group(3, 23);
+  ASSERT_TRUE(group.proposeMany(1));
+  group.run(Duration(200));
+  const std::size_t lead = *group.leader();
+  const std::size_t other = (lead + 1) % 3;
+  const MemberId known = group.member(other).Id;
+  const MemberId unknown{999};
+  const auto remove = &ConsensusNode::remove;
+  const auto promote = &ConsensusNode::promote;
+  EXPECT_EQ(group.change(other, remove, known).code(),
+            StatusCode::kUnavailable);
+  EXPECT_EQ(group.change(lead, remove, unknown).code(), StatusCode::kNotFound);
+  EXPECT_EQ(group.change(lead, promote, unknown).code(), StatusCode::kNotFound);
+  EXPECT_EQ(group.change(lead, promote, known).code(),
+            StatusCode::kAlreadyExists);
+  EXPECT_EQ(group.addLearner(lead, group.member(other)).code(),
+            StatusCode::kAlreadyExists);
+  EXPECT_EQ(group.addLearner(lead, {}).code(), StatusCode::kInvalidArgument);
+  EXPECT_EQ(group.propose(lead, MaxEntryBytes + 1).code(),
+            StatusCode::kInvalidArgument);
+  ASSERT_TRUE(group.change(lead, remove, known).ok());
+  EXPECT_EQ(group.addLearner(lead, {unknown, {1, 1}}).code(),
+            StatusCode::kFailedPrecondition);
+}
+
+// Guards against a leader that cannot be removed, or that goes on leading after
+// its removal is committed.
+TEST(NodeTest, LeaderRemovesItself) {
+  Group group(3, 24);
+  ASSERT_TRUE(group.proposeMany(3));
+  group.run(Duration(200));
+  const std::size_t lead = *group.leader();
+  const MemberId id = group.member(lead).Id;
+  ASSERT_TRUE(group.change(lead, &ConsensusNode::remove, id).ok());
+  group.run(Duration(5000));
+  ASSERT_TRUE(group.leader());
+  EXPECT_NE(*group.leader(), lead);
+  EXPECT_EQ(group.node(*group.leader()).members().size(), 2U);
+  group.settle();
+  EXPECT_EQ(group.violations(), "");
+}
+
+// Guards against requests that outgrow the message bound when entries are
+// large, and against a log that stops at one of them.
+TEST(NodeTest, LargestEntriesAreReplicated) {
+  Group group(3, 25);
+  group.Alter = [&](ConsensusMessage &it) {
+    Bytes buf;
+    if (!encodeConsensus(it, buf).ok())
+      group.Violations.emplace_back("message exceeds its bound");
+  };
+  ASSERT_TRUE(group.proposeMany(1));
+  for (int k = 0; k < 5; ++k)
+    ASSERT_TRUE(group.propose(*group.leader(), MaxEntryBytes).ok());
+  group.settle();
+  EXPECT_EQ(group.violations(), "");
+  EXPECT_GE(group.Told.size(), 6U);
+}
+
+} // namespace
+} // namespace pistachio
