Add pistachioctl with its command library

Purpose: let operators check, compare and apply rules, take a data centre out and back, drain upstreams and see the status.

Ruled out: treating an unreachable server after a lost answer as "not reachable" (the change may have been made, so it is "outcome unknown"); giving up at the first conflict of a one-line edit, which is made again up to three times on top of the other change.

Changed: new library Ctl (TCLAP stays in Arguments.cpp) and the program in Source/Ctl. All four one-line edits wait for the balancers; a balancer that has not reported the change in time gives exit code 4, and the output says that the change is accepted. FakeAdminBackend and AdminServerThread in Fakes serve the tests of Admin and Ctl.

--- /dev/null
+++ b/Source/Core/Ctl/Arguments.cpp
@@ -0,0 +1,247 @@
+#include "Ctl/Arguments.h"
+
+#include "Settings/Settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <ostream>
+#include <tclap/CmdLine.h>
+
+namespace pistachio {
+namespace {
+
+constexpr std::string_view Program = "pistachioctl";
+constexpr std::uint32_t MaxSeconds = 3600;
+
+struct CommandSpec {
+  std::string_view Name;
+  CtlCommand Command;
+  /// Empty if the command takes none.
+  std::string_view Operand;
+  std::string_view Description;
+  bool NeedsServer;
+  bool ChangesRules;
+};
+
+constexpr CommandSpec Commands[] = {
+    {"check", CtlCommand::Check, "FILE",
+     "Check a rules file without asking a server.", false, false},
+    {"diff", CtlCommand::Diff, "FILE", "Show what a rules file would change.",
+     true, false},
+    {"apply", CtlCommand::Apply, "FILE",
+     "Replace the current rules by those of a file.", true, true},
+    {"status", CtlCommand::Status, "",
+     "Show control instances, balancers and upstreams.", true, false},
+    {"dc out", CtlCommand::DataCentreOut, "NAME",
+     "Take a data centre out of service.", true, true},
+    {"dc in", CtlCommand::DataCentreIn, "NAME",
+     "Bring a data centre back into service.", true, true},
+    {"drain", CtlCommand::Drain, "ID", "Give an upstream no new flows.", true,
+     true},
+    {"undrain", CtlCommand::Undrain, "ID", "Give an upstream new flows again.",
+     true, true},
+};
+
+/// Prints help and version to the streams of the environment.
+class Printer : public TCLAP::CmdLineOutput {
+public:
+  Printer(const CommandSpec &spec, CtlEnvironment &environment)
+      : Spec(spec), Environment(environment) {}
+
+  void usage(TCLAP::CmdLineInterface &line) override {
+    std::ostream &out = Environment.out();
+    out << "usage: " << Program << ' ' << Spec.Name;
+    if (!Spec.Operand.empty())
+      out << ' ' << Spec.Operand;
+    out << " [options]\n" << Spec.Description << "\n\noptions:\n";
+    for (TCLAP::Arg *it : line.getArgList()) {
+      if (it->getName() == Spec.Operand ||
+          it->getName() == TCLAP::Arg::ignoreNameString())
+        continue;
+      out << "  " << it->longID() << "\n      " << it->getDescription() << '\n';
+    }
+  }
+  void version(TCLAP::CmdLineInterface &line) override {
+    Environment.out() << Program << ' ' << line.getVersion() << '\n';
+  }
+  void failure(TCLAP::CmdLineInterface &, TCLAP::ArgException &) override {}
+
+private:
+  const CommandSpec &Spec;
+  CtlEnvironment &Environment;
+};
+
+void printCommands(std::ostream &out) {
+  out << "usage: " << Program << " COMMAND [options]\n\ncommands:\n";
+  for (const CommandSpec &it : Commands) {
+    const std::string left = concat(it.Name, " ", it.Operand);
+    out << "  " << left << std::string(16 - left.size(), ' ') << it.Description
+        << '\n';
+  }
+  out << "\n'" << Program << " COMMAND --help' lists the options.\n";
+}
+
+CtlExit usageError(CtlEnvironment &environment, std::string_view message) {
+  environment.err() << Program << ": " << message << "\nTry '" << Program
+                    << " --help'.\n";
+  return CtlExit::Usage;
+}
+
+template <typename Number>
+std::optional<Number> toNumber(std::string_view text) {
+  Number value = 0;
+  const char *end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end)
+    return std::nullopt;
+  return value;
+}
+
+std::optional<Duration> toSeconds(std::string_view text) {
+  const auto value = toNumber<std::uint32_t>(text);
+  if (!value || *value > MaxSeconds)
+    return std::nullopt;
+  return std::chrono::seconds(*value);
+}
+
+const CommandSpec *findCommand(std::span<const std::string> args,
+                               std::size_t &used) {
+  for (const CommandSpec &it : Commands) {
+    const std::string joined =
+        args.size() > 1 ? concat(args[0], " ", args[1]) : "";
+    used = it.Name.find(' ') == std::string_view::npos ? 1 : 2;
+    if (it.Name == args[0] || it.Name == joined)
+      return &it;
+  }
+  return nullptr;
+}
+
+} // namespace
+
+std::variant<CtlArguments, CtlExit>
+parseArguments(std::span<const std::string> args, std::string_view version,
+               CtlEnvironment &environment) {
+  if (args.empty())
+    return usageError(environment, "a command is missing");
+  if (args[0] == "--help" || args[0] == "-h") {
+    printCommands(environment.out());
+    return CtlExit::Done;
+  }
+  if (args[0] == "--version") {
+    environment.out() << Program << ' ' << version << '\n';
+    return CtlExit::Done;
+  }
+  std::size_t used = 0;
+  const CommandSpec *spec = findCommand(args, used);
+  if (spec == nullptr)
+    return usageError(environment, concat("unknown command '", args[0], "'"));
+
+  using Value = TCLAP::ValueArg<std::string>;
+  TCLAP::CmdLine line(std::string(spec->Description), ' ',
+                      std::string(version));
+  Printer printer(*spec, environment);
+  line.setOutput(&printer);
+  line.setExceptionHandling(false);
+  TCLAP::MultiArg<std::string> servers(
+      "", "server",
+      concat("Administration API of a control instance; may be repeated. ",
+             "Default: ", toString(DefaultAdminEndpoint)),
+      false, "A.B.C.D:PORT", line);
+  Value credential("", "credential-file",
+                   "File whose first line is the credential of the team.",
+                   false, "", "FILE", line);
+  Value person("", "operator",
+               "Who asks for the change. Default: the login name.", false, "",
+               "NAME", line);
+  Value reason("", "reason", "Why; kept in the rule.", false, "", "TEXT", line);
+  TCLAP::SwitchArg json("", "json", "Print one JSON document.", line);
+  Value timeout("", "timeout", "For each call of the server. Default: 5", false,
+                "5", "SECONDS", line);
+  Value wait("", "wait",
+             "For all balancers to report a change as in force; 0 does not "
+             "wait. Default: 10, for apply 0",
+             false, spec->Command == CtlCommand::Apply ? "0" : "10", "SECONDS");
+  Value revision("", "revision",
+                 "Revision of the rules that the change is made against. "
+                 "Default: the current one",
+                 false, "", "N");
+  Value operationId("", "operation-id",
+                    "Identifies the change; a change with a known id is not "
+                    "made again. Default: a new id",
+                    false, "", "ID");
+  TCLAP::SwitchArg yes("", "yes", "Do not ask before the change is made.");
+  TCLAP::UnlabeledValueArg<std::string> operand(
+      std::string(spec->Operand), std::string(spec->Operand), true, "",
+      std::string(spec->Operand));
+  if (spec->ChangesRules) {
+    line.add(wait);
+    line.add(revision);
+    line.add(operationId);
+  }
+  if (spec->Command == CtlCommand::Apply)
+    line.add(yes);
+  if (!spec->Operand.empty())
+    line.add(operand);
+
+  std::vector<std::string> words = {std::string(Program)};
+  words.insert(words.end(), args.begin() + static_cast<std::ptrdiff_t>(used),
+               args.end());
+  try {
+    line.parse(words);
+  } catch (const TCLAP::ExitException &exit) {
+    return exit.getExitStatus() == 0 ? CtlExit::Done : CtlExit::Usage;
+  } catch (const TCLAP::ArgException &error) {
+    return usageError(environment, concat(spec->Name, ": ", error.error(), "; ",
+                                          error.argId()));
+  }
+
+  CtlArguments result;
+  result.Command = spec->Command;
+  result.CommandName = spec->Name;
+  result.Operand = operand.getValue();
+  for (const std::string &it : servers.getValue()) {
+    const auto endpoint = parseEndpoint(it);
+    if (!endpoint.ok())
+      return usageError(environment, messageOf(endpoint.status()));
+    result.Servers.push_back(*endpoint);
+  }
+  if (result.Servers.empty())
+    result.Servers.push_back(DefaultAdminEndpoint);
+  result.CredentialFile = credential.getValue();
+  if (spec->NeedsServer && result.CredentialFile.empty())
+    return usageError(environment, "--credential-file is missing");
+  result.Operator = person.isSet() ? person.getValue() : environment.user();
+  if (spec->ChangesRules && result.Operator.empty())
+    return usageError(environment, "--operator is missing");
+  result.Reason = reason.getValue();
+  result.Json = json.getValue();
+  result.Yes = yes.getValue();
+  if (spec->Command == CtlCommand::Apply && result.Json && !result.Yes)
+    return usageError(environment, "--json needs --yes, since it cannot ask");
+  const auto timeLimit = toSeconds(timeout.getValue());
+  const auto waitLimit = toSeconds(wait.getValue());
+  if (!timeLimit || *timeLimit == Duration::zero() || !waitLimit)
+    return usageError(environment,
+                      concat("--timeout and --wait are seconds, at most ",
+                             std::to_string(MaxSeconds)));
+  result.Timeout = *timeLimit;
+  result.Wait = *waitLimit;
+  if (revision.isSet()) {
+    const auto value = toNumber<std::uint64_t>(revision.getValue());
+    if (!value)
+      return usageError(environment, "--revision is not a whole number");
+    result.ExpectedRevision = Revision{*value};
+  }
+  if (operationId.isSet()) {
+    const std::string &id = operationId.getValue();
+    if (id.empty() || id.size() > MaxOperationIdBytes ||
+        !std::ranges::all_of(id, [](char c) { return c > ' ' && c < 0x7F; }))
+      return usageError(environment, concat("--operation-id has 1 to ",
+                                            std::to_string(MaxOperationIdBytes),
+                                            " printable ASCII characters"));
+    result.OperationId = id;
+  }
+  return result;
+}
+
+} // namespace pistachio
--- /dev/null
+++ b/Source/Core/Ctl/Output.cpp
@@ -0,0 +1,97 @@
+#include "Ctl/Output.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace pistachio {
+namespace {
+
+std::string_view nameOf(CtlExit code) {
+  switch (code) {
+  case CtlExit::Done:
+    return "done";
+  case CtlExit::Refused:
+    return "refused";
+  case CtlExit::Usage:
+    return "usage";
+  case CtlExit::Conflict:
+    return "conflict";
+  case CtlExit::NotReachable:
+    return "not_reachable";
+  case CtlExit::OutcomeUnknown:
+    break;
+  }
+  return "outcome_unknown";
+}
+
+boost::json::string_view view(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+} // namespace
+
+std::string formatTable(std::span<const std::vector<std::string>> rows) {
+  std::vector<std::size_t> widths;
+  for (const auto &row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string text;
+  for (const auto &row : rows) {
+    text += ' ';
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      text += concat(" ", row[i]);
+      // No blanks at the end of a line.
+      if (i + 1 < row.size())
+        text += std::string(widths[i] - row[i].size() + 1, ' ');
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+void Output::text(std::string_view text) {
+  // Flushed so that the operation id is seen even if the command is stopped.
+  if (!Json)
+    Environment.out() << text << std::flush;
+}
+
+void Output::message(std::string_view text) {
+  if (text.ends_with('\n'))
+    text.remove_suffix(1);
+  if (Json)
+    Messages.emplace_back(view(text));
+  else
+    Environment.err() << text << '\n';
+}
+
+void Output::findings(const Findings &findings) {
+  if (!Json) {
+    Environment.err() << findings.format();
+    return;
+  }
+  boost::json::array array;
+  for (const Finding &it : findings.items())
+    array.push_back({{"file", it.File},
+                     {"line", it.Line},
+                     {"column", it.Column},
+                     {"message", it.Message}});
+  Document["findings"] = std::move(array);
+}
+
+void Output::set(std::string_view key, boost::json::value value) {
+  if (Json)
+    Document[view(key)] = std::move(value);
+}
+
+CtlExit Output::finish(CtlExit code) {
+  if (Json) {
+    Document["result"] = view(nameOf(code));
+    Document["messages"] = std::move(Messages);
+    Environment.out() << boost::json::serialize(Document) << '\n';
+  }
+  return code;
+}
+
+} // namespace pistachio
--- a/Source/UnitTests/Admin/AdminTest.cpp
+++ b/Source/UnitTests/Admin/AdminTest.cpp
@@ -176,7 +176,7 @@
      "{\"file\":\"rules\",\"line\":2,\"column\":5,\"message\":\"unknown data "
      "centre 'z'\"}"},
     {"CheckOfOtherTeam",
-     request("POST", "/v1/rules/check", "{\"rules\":\"\"}", "team-a-secret-0"),
+     request("POST", "/v1/rules/check", "{\"rules\":\"\"}", "team-a-secret-01"),
      "HTTP/1.1 403", "not_permitted"},
     {"Check", request("POST", "/v1/rules/check", "{\"rules\":\"\"}"),
      "HTTP/1.1 200", "- datacentre y # asked by Ada"},
@@ -192,11 +192,14 @@
   FakeAdminBackend backend{std::string(BaseRules)};
   AdminServerOptions options;
   options.RequestTimeout = Duration(50);
-  AdminServerThread server(backend, options);
+  // Both connections and their bytes wait in the listen queue, so that the
+  // timeout does not run while the test is still sending.
+  AdminServerThread server(backend, options, /*running=*/false);
   RawConnection slow(server.endpoint());
   slow.send("GET /v1/sta");
-  EXPECT_EQ(slow.readAll().substr(0, 12), "HTTP/1.1 408");
   RawConnection idle(server.endpoint());
+  server.start();
+  EXPECT_EQ(slow.readAll().substr(0, 12), "HTTP/1.1 408");
   EXPECT_EQ(idle.readAll(), "");
 }
 
@@ -312,7 +315,7 @@
     {"WrongCredential", "operators-secrex", "out y", 7,
      absl::StatusCode::kUnauthenticated, "credential"},
     // The request names the team "operators"; the credential decides.
-    {"OtherTeamsLine", "team-a-secret-0", "limit b inflight 3", 7,
+    {"OtherTeamsLine", "team-a-secret-01", "limit b inflight 3", 7,
      absl::StatusCode::kPermissionDenied,
      "team 'team-a' may not change: limit b"},
     {"Findings", Secret, "out z", 7, absl::StatusCode::kInvalidArgument,
@@ -330,7 +333,7 @@
       "POST", "/v1/rules/apply",
       "{\"operationId\":\"x\",\"expectedRevision\":7,\"team\":\"operators\","
       "\"operator\":\"Ada\",\"rules\":\"\"}",
-      "team-a-secret-0"));
+      "team-a-secret-01"));
   EXPECT_EQ(connection.readAll().substr(0, 12), "HTTP/1.1 403");
   server.stop();
   ASSERT_EQ(Backend.Requests.size(), 1U);
--- a/Source/UnitTests/Fakes/FakeAdminBackend.h
+++ b/Source/UnitTests/Fakes/FakeAdminBackend.h
@@ -40,16 +40,16 @@
   void apply(ApplyRequest request,
              std::function<void(absl::StatusOr<ApplyOutcome>)> done) override {
     Requests.push_back(request);
-    if (Refusals > 0) {
-      --Refusals;
-      done(absl::UnavailableError("no leader"));
-      return;
-    }
     if (LostRequests > 0) {
       --LostRequests;
       Held.push_back(std::move(done));
       return;
     }
+    if (Refusals > 0) {
+      --Refusals;
+      done(absl::UnavailableError("no leader"));
+      return;
+    }
     auto outcome = decide(request);
     if (LostAnswers > 0) {
       --LostAnswers;
@@ -63,10 +63,10 @@
   Revision Current{7};
   ControlStatus Status;
   bool CatchUp = true;
-  /// Counts of the next calls to apply() that are refused as unavailable, lost
-  /// before or lost after the change.
-  int Refusals = 0;
+  /// Counts of the next calls to apply() that are lost before the change,
+  /// refused as unavailable, or lost after the change.
   int LostRequests = 0;
+  int Refusals = 0;
   int LostAnswers = 0;
   /// Somebody else's changes that come before the next changes.
   int ForeignChanges = 0;
@@ -112,22 +112,29 @@
 class AdminServerThread {
 public:
   explicit AdminServerThread(AdminBackend &backend,
-                             AdminServerOptions options = {}) {
+                             AdminServerOptions options = {},
+                             bool running = true) {
     options.Listen = {0x7F000001, 0};
     if (options.Credentials.empty())
       options.Credentials = {{"operators", "operators-secret"},
-                             {"team-a", "team-a-secret-0"}};
+                             {"team-a", "team-a-secret-01"}};
     auto started = startAdminServer(Context, std::move(options), backend);
     if (!started.ok())
       throw std::runtime_error(messageOf(started.status()));
     Server = *std::move(started);
     Address = Server->endpoint();
-    Runner = std::thread([this] { Context.run(); });
+    if (running)
+      start();
   }
   ~AdminServerThread() { stop(); }
   AdminServerThread(const AdminServerThread &) = delete;
   AdminServerThread &operator=(const AdminServerThread &) = delete;
 
+  /// Until then connections wait in the listen queue.
+  void start() {
+    Runner = std::thread([this] { Context.run(); });
+  }
+
   Endpoint endpoint() const { return Address; }
 
   std::size_t connections() {
