--- /dev/null
+++ b/Source/UnitTests/Fakes/FakeBackEndMain.cpp
@@ -0,0 +1,203 @@
+#include "Fakes/LedgerFile.h"
+#include "Runtime/Runtime.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <tclap/CmdLine.h>
+
+#include <charconv>
+#include <iostream>
+
+namespace pistachio {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct BackEndOptions {
+  Endpoint Listen;
+  std::string Service;
+  std::uint32_t Slots = 1;
+  Duration Latency{5};
+  std::uint32_t ColdSlots = 1;
+  Duration ColdTime{0};
+};
+
+std::span<const std::byte> bytesOf(const std::string &text) {
+  return std::as_bytes(std::span(text.data(), text.size()));
+}
+
+/// The number behind "bytes=" in the query of a path.
+std::size_t bytesAskedFor(std::string_view path) {
+  std::size_t n = 0;
+  const auto at = path.find("bytes=");
+  if (at != std::string_view::npos)
+    std::from_chars(path.data() + at + 6, path.data() + path.size(), n);
+  return std::min(n, MaxContentBytes);
+}
+
+class BackEnd {
+public:
+  BackEnd(boost::asio::io_context &context, BackEndOptions options,
+          LedgerFile &ledger)
+      : Context(context), Options(std::move(options)), Ledger(ledger),
+        Acceptor(context, tcp::endpoint(boost::asio::ip::address_v4(
+                                            Options.Listen.Address),
+                                        Options.Listen.Port)),
+        Started(steadyNow()) {
+    accept();
+  }
+
+  void report() const {
+    std::cout << Options.Service << " " << toString(Options.Listen)
+              << " runs=" << Runs << " shed=" << Shed << " peak=" << Peak
+              << std::endl;
+  }
+
+private:
+  struct Connection {
+    explicit Connection(tcp::socket socket)
+        : Stream(std::move(socket)), Timer(Stream.get_executor()) {
+      Parser.body_limit(MaxContentBytes);
+    }
+    beast::tcp_stream Stream;
+    boost::asio::steady_timer Timer;
+    beast::flat_buffer Buffer;
+    http::request_parser<http::string_body> Parser;
+    http::response<http::string_body> Answer;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void accept() {
+    Acceptor.async_accept([this](error_code ec, tcp::socket socket) {
+      if (!ec) {
+        auto it = std::make_shared<Connection>(std::move(socket));
+        http::async_read(it->Stream, it->Buffer, it->Parser,
+                         [this, it](error_code ec, std::size_t) {
+                           if (!ec)
+                             onRequest(it);
+                         });
+      }
+      accept();
+    });
+  }
+
+  bool isCold() const { return steadyNow() - Started < Options.ColdTime; }
+
+  void onRequest(const ConnectionPtr &it) {
+    const auto &request = it->Parser.get();
+    const std::string id(request["Idempotency-Key"]);
+    const bool isKnown = request.method() == http::verb::get ||
+                         request.method() == http::verb::post;
+    if (id.empty() || !isKnown)
+      return answer(it, http::status::bad_request, "");
+    if (InFlight >= (isCold() ? Options.ColdSlots : Options.Slots)) {
+      ++Shed;
+      it->Answer.set(http::field::retry_after, "1");
+      return answer(it, http::status::service_unavailable, "");
+    }
+    ++InFlight;
+    ++Runs;
+    Peak = std::max(Peak, InFlight);
+    const std::string path(request.target());
+    const std::uint32_t checksum = checksum32(bytesOf(request.body()));
+    std::string body =
+        id + " " + Options.Service + " " + std::to_string(checksum) + "\n";
+    const std::size_t size = std::max(bytesAskedFor(path), body.size());
+    for (std::uint64_t n = 0; body.size() < size; ++n)
+      body += static_cast<char>(mix64(n + checksum32(bytesOf(id))));
+    // Written before the work is done: a request whose answer is lost has run.
+    Ledger.write({{"event", "run"},
+                  {"id", id},
+                  {"service", Options.Service},
+                  {"method", std::string(request.method_string())},
+                  {"path", path},
+                  {"checksum", checksum},
+                  {"answer", checksum32(bytesOf(body))}});
+    it->Timer.expires_after(Options.Latency);
+    it->Timer.async_wait(
+        [this, it, body = std::move(body)](error_code) mutable {
+          --InFlight;
+          answer(it, http::status::ok, std::move(body));
+        });
+  }
+
+  static void answer(const ConnectionPtr &it, http::status status,
+                     std::string body) {
+    it->Answer.version(11);
+    it->Answer.result(status);
+    it->Answer.keep_alive(false);
+    it->Answer.body() = std::move(body);
+    it->Answer.prepare_payload();
+    http::async_write(it->Stream, it->Answer,
+                      [it](error_code, std::size_t) { it->Stream.close(); });
+  }
+
+  boost::asio::io_context &Context;
+  BackEndOptions Options;
+  LedgerFile &Ledger;
+  tcp::acceptor Acceptor;
+  TimePoint Started;
+  std::uint32_t InFlight = 0;
+  std::uint32_t Peak = 0;
+  std::uint64_t Runs = 0;
+  std::uint64_t Shed = 0;
+};
+
+int run(int argc, char **argv) {
+  BackEndOptions options;
+  std::string ledgerPath;
+  try {
+    TCLAP::CmdLine line("HTTP/1.1 back end of one upstream. Any GET or POST "
+                        "with an Idempotency-Key is a request; ?bytes=N gives "
+                        "the answer's size. The answer begins with the request "
+                        "id, the service and the checksum of the body. Above "
+                        "its slots it answers 503 without running the request.",
+                        ' ', "1");
+    TCLAP::ValueArg<std::string> listen("", "listen", "TCP endpoint", true, "",
+                                        "IP:PORT", line);
+    TCLAP::ValueArg<std::string> service("", "service", "service name", true,
+                                         "", "NAME", line);
+    TCLAP::ValueArg<std::string> ledger("", "ledger", "ledger file", true, "",
+                                        "FILE", line);
+    TCLAP::ValueArg<std::uint32_t> slots("", "slots", "requests at a time",
+                                         false, 1, "N", line);
+    TCLAP::ValueArg<int> latency("", "latency-ms", "time for one request",
+                                 false, 5, "MS", line);
+    TCLAP::ValueArg<std::uint32_t> coldSlots(
+        "", "cold-slots", "slots during the cold start", false, 1, "N", line);
+    TCLAP::ValueArg<int> cold("", "cold-ms", "length of the cold start", false,
+                              0, "MS", line);
+    line.parse(argc, argv);
+    options = {parseEndpoint(listen.getValue()).value(),
+               service.getValue(),
+               slots.getValue(),
+               Duration(latency.getValue()),
+               coldSlots.getValue(),
+               Duration(cold.getValue())};
+    ledgerPath = ledger.getValue();
+  } catch (const TCLAP::ArgException &e) {
+    std::cerr << e.error() << "\n";
+    return ExitCode::Usage;
+  }
+  LedgerFile ledger(ledgerPath);
+  if (!ledger.isOpen()) {
+    std::cerr << ledgerPath << ": cannot be opened\n";
+    return 1;
+  }
+  boost::asio::io_context context;
+  BackEnd backEnd(context, std::move(options), ledger);
+  onStopSignal(context, [&] { context.stop(); });
+  context.run();
+  backEnd.report();
+  return 0;
+}
+
+} // namespace
+} // namespace pistachio
+
+int main(int argc, char **argv) { return pistachio::run(argc, argv); }
