--- /dev/null
+++ b/Source/ControlDaemon/Main.cpp
@@ -0,0 +1,52 @@
+#include "ControlDaemon/ControlDaemon.h"
+
+#include <cstdio>
+
+namespace {
+
+using namespace pistachio;
+
+constexpr const char *Description =
+    "Control instance of pistachiotally: replicated rules and membership, "
+    "publication to nodes, administration API. Exit codes: 0 stopped by a "
+    "signal, 1 settings or data folder refused, 2 usage, 3 failed (port, "
+    "disk).";
+
+/// The folder holds something that this process must not touch; a restart does
+/// not help.
+bool isFolderRefused(const absl::Status &status) {
+  return absl::IsFailedPrecondition(status) || absl::IsDataLoss(status);
+}
+
+int run(const ControlSettings &settings, bool initialise) {
+  boost::asio::io_context context(1);
+  const auto daemon = ControlDaemon::start(context, settings, initialise);
+  if (!daemon.ok()) {
+    logEvent(LogLevel::Error, "start_failed", messageOf(daemon.status()));
+    return isFolderRefused(daemon.status()) ? ExitCode::BadSettings
+                                            : ExitCode::Failed;
+  }
+  onStopSignal(context, [&] { (*daemon)->stop(); });
+  context.run();
+  return (*daemon)->outcome().ok() ? ExitCode::Ok : ExitCode::Failed;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  DaemonSwitch initialise{"init",
+                          "make a group of one in an empty data folder"};
+  const DaemonArguments arguments = parseDaemonArguments(
+      argc, argv, Description, PISTACHIO_VERSION, {&initialise, 1});
+  Findings findings;
+  const auto settings = loadControlSettings(arguments.SettingsPath, findings);
+  if (!settings) {
+    std::fputs(findings.format().c_str(), stderr);
+    return ExitCode::BadSettings;
+  }
+  if (arguments.CheckOnly)
+    return ExitCode::Ok;
+  startLogging("pistachio-control",
+               parseLogLevel(settings->Log.Level).value_or(LogLevel::Info));
+  return run(*settings, initialise.IsSet);
+}
