--- a/Source/Core/Routing/TableFollower.cpp
+++ b/Source/Core/Routing/TableFollower.cpp
@@ -335,11 +335,11 @@
           *former, record.Name, record.Address, std::move(members), to));
     }
   }
-  for (ServicePtr &it : built) {
+  for (const ServicePtr &it : built) {
     ++next->Services;
     next->Upstreams += it->members().size();
     byAddress.set(it->address(), it);
-    byId.set(it->id(), std::move(it));
+    byId.set(it->id(), it);
   }
   Touched.clear();
 
