--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace pistachio {
@@ -182,6 +183,9 @@
   }
   const TimePoint now = steadyNow();
   LastReplyAt = now;
+  Requests->setSlots(reply->Slots == 0
+                         ? Settings.Slots
+                         : std::min(Settings.Slots, reply->Slots));
   PlacementOutput output;
   Placement->onAnnounceReply(*reply, now, output);
   carryOut(std::move(output), now);
--- a/Source/Agent/RequestRunner.cpp
+++ b/Source/Agent/RequestRunner.cpp
@@ -49,6 +49,11 @@
   carryOut(std::move(output), now);
 }
 
+void RequestRunner::setSlots(std::uint32_t slots) {
+  Slots = std::max(slots, 1U);
+  Admission.setSlots(Slots);
+}
+
 void RequestRunner::tick(TimePoint now) {
   const double used = static_cast<double>(inFlight()) / std::max(limit(), 1U);
   Busy += (std::min(used, 1.0) - Busy) * BusySmoothing;
--- a/Source/Agent/RequestRunner.h
+++ b/Source/Agent/RequestRunner.h
@@ -31,6 +31,9 @@
   void closeFlow(const SessionKey &flow, TimePoint now);
   void tick(TimePoint now);
 
+  /// Requests that may run at the same time at the most.
+  void setSlots(std::uint32_t slots);
+
   std::size_t unfinished() const { return Records->unfinished(); }
   std::uint64_t badPayloads() const { return Records->badPayloads(); }
   std::uint32_t limit() const { return Admission.limit(); }
--- a/Source/Core/Placement/AdmissionController.cpp
+++ b/Source/Core/Placement/AdmissionController.cpp
@@ -23,6 +23,11 @@
   Limit = Options.InitialLimit;
 }
 
+void AdmissionController::setSlots(std::uint32_t slots) {
+  Options.Slots = std::max<std::uint32_t>(slots, 1);
+  Limit = std::min(Limit, static_cast<double>(Options.Slots));
+}
+
 std::uint32_t AdmissionController::limit() const {
   return static_cast<std::uint32_t>(Limit);
 }
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -48,6 +48,8 @@
   enum class Outcome : std::uint8_t { Served, Shed, Failed, Cancelled };
   /// Gives the slot back. \p latency counts for Served only.
   void finish(Outcome outcome, Duration latency, TimePoint now);
+  /// Changes the bound of the limit, as the rules do.
+  void setSlots(std::uint32_t slots);
   /// The back end has restarted or refuses connections: back to the initial
   /// limit.
   void restart(TimePoint now);
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -89,6 +89,7 @@
   field(archive, it.Upstream);
   field(archive, it.Service);
   text(archive, it.Reason, MaxReasonBytes);
+  field(archive, it.Slots);
 }
 
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf) {
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -148,6 +148,9 @@
   UpstreamId Upstream;
   ServiceId Service;
   std::string Reason;
+  /// Requests that the rules let this upstream run at the same time; 0 if they
+  /// set no bound.
+  std::uint32_t Slots = 0;
   friend bool operator==(const AnnounceReply &,
                          const AnnounceReply &) = default;
 };
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -101,7 +101,7 @@
                true,
                false},
       AnnounceReply{AnnounceResult::Rejected, UpstreamId{6}, ServiceId{1},
-                    "unknown service"}};
+                    "unknown service", 3}};
 }
 
 inline std::vector<LogCommand> sampleCommands() {
