--- a/Source/UnitTests/Admin/AdminTest.cpp
+++ b/Source/UnitTests/Admin/AdminTest.cpp
@@ -346,7 +346,7 @@
 }
 
 // Guards against a change that is made twice after its answer was lost, and
-// against a late answer of the backend that reaches a later request.
+// against a callback that outlives the server.
 TEST_F(AdminClientTest, ResendsAfterLostAnswer) {
   Backend.LostAnswers = 1;
   AdminServerOptions options;
@@ -366,6 +366,42 @@
   Backend.Held[0](ApplyOutcome{});
 }
 
+/// Answers the first change only when the second one arrives, and that never.
+class LateBackend final : public AdminBackend {
+public:
+  void readRules(std::function<void(absl::StatusOr<CurrentRules>)>) override {}
+  void readStatus(std::function<void(absl::StatusOr<ControlStatus>)>) override {
+  }
+  void apply(ApplyRequest,
+             std::function<void(absl::StatusOr<ApplyOutcome>)> done) override {
+    Held.push_back(std::move(done));
+    if (Held.size() == 2)
+      Held[0](ApplyOutcome{{99}, "", false});
+  }
+
+private:
+  std::vector<std::function<void(absl::StatusOr<ApplyOutcome>)>> Held;
+};
+
+// Guards against a late answer of the backend that is sent as the answer to a
+// later request on the same connection.
+TEST(AdminServerTest, DropsLateAnswerOfBackend) {
+  LateBackend backend;
+  AdminServerOptions options;
+  options.BackendTimeout = Duration(50);
+  AdminServerThread server(backend, options);
+  RawConnection connection(server.endpoint());
+  constexpr std::string_view Body =
+      R"({"operationId":"x","expectedRevision":7,"operator":"A","rules":""})";
+  for (int i = 0; i < 2; ++i) {
+    connection.send(concat("POST /v1/rules/apply HTTP/1.1\r\n"
+                           "Authorization: Bearer ",
+                           Secret, "\r\nContent-Length: ",
+                           std::to_string(Body.size()), "\r\n\r\n", Body));
+    EXPECT_EQ(connection.readAnswer("}}").substr(0, 12), "HTTP/1.1 504");
+  }
+}
+
 // Guards against giving up at an instance that has no leader or is gone.
 TEST_F(AdminClientTest, TriesNextServer) {
   FakeAdminBackend cutOff{std::string(BaseRules)};
--- a/Source/UnitTests/Rules/RulesTest.cpp
+++ b/Source/UnitTests/Rules/RulesTest.cpp
@@ -314,6 +314,7 @@
     {"NewService", "t", "service c address 1.2.3.4:3 slots 1", false},
     {"GrantItself", "t", "team u services b", false},
     {"DataCentre", "t", "datacentre z", false},
+    {"DataCentreNamedAsService", "t", "datacentre a", false},
     {"Out", "t", "out x", false},
     {"Drain", "t", "drain upstream 1", false},
     {"UnknownTeam", "u", "limit a inflight 3", false},
