Exempt the comparison of ids from a false lint finding

modernize-use-nullptr takes the 0 that the compiler puts into a defaulted comparison for a null pointer, as soon as an id is a key of a map.

--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -16,9 +16,10 @@
   constexpr explicit operator bool() const { return Value != 0; }
   // The check takes the 0 that the compiler puts into a comparison for a null
   // pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const StrongId &,
                                     const StrongId &) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 using ServiceId = StrongId<struct ServiceIdTag, std::uint32_t>;
