Register balancers again at the leader with their lease requests

Ruled out: repeating Subscribe at the node; control knows best whether the record is there.

Changed: NodeChannel keeps the subscription of a connection; ControlState::findBalancer(); links to former members are closed.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -140,7 +140,8 @@
   handlers.OnConsensus = [this](const ConsensusMessage &it) {
     onConsensus(it);
   };
-  handlers.OnCall = [this](const PeerMessage &it, PeerLinks::SendReply reply) {
+  handlers.OnCall = [this](const PeerMessage &it,
+                           const PeerLinks::SendReply &reply) {
     Calls->onCall(it, reply);
   };
   return handlers;
@@ -165,6 +166,8 @@
   Nodes->tick(now);
   if (Membership->needsToJoin())
     askToJoin(now);
+  else
+    followMembers();
   confirmLeader(now);
   logRoleChange();
   const ConsensusNode &node = Control->node();
@@ -196,6 +199,16 @@
     Links->send(target, Membership->joinRequest());
 }
 
+void ControlDaemon::followMembers() {
+  std::vector<Member> members = Control->node().members();
+  if (members == LastMembers)
+    return;
+  Links->keepOnly(members);
+  logEvent(LogLevel::Info, "members_changed", "members of the group changed",
+           {{"members", std::to_string(members.size())}});
+  LastMembers = std::move(members);
+}
+
 void ControlDaemon::confirmLeader(TimePoint now) {
   if (now - LastConfirmation < ConfirmInterval)
     return;
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -43,6 +43,7 @@
   void onConsensus(const ConsensusMessage &message);
   void tick();
   void askToJoin(TimePoint now);
+  void followMembers();
   void confirmLeader(TimePoint now);
   void logRoleChange();
   void fail(absl::Status why);
@@ -69,6 +70,7 @@
   TimePoint LastJoin{};
   TimePoint LastConfirmation{};
   Role LastRole = Role::Follower;
+  std::vector<Member> LastMembers;
 };
 
 } // namespace pistachio
--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -49,15 +49,15 @@
   const std::optional<Member> leader = Control.node().leader();
   if (!leader || leader->Address.Port == 0 || Control.isLeader())
     return done(absl::UnavailableError("no leader is known"));
-  Links.call(leader->Address, std::move(message), steadyNow() + timeout,
-             [done = std::move(done)](absl::StatusOr<PeerMessage> message) {
-               if (!message.ok())
-                 return done(message.status());
-               auto *reply = std::get_if<Reply>(&*message);
-               if (!reply)
-                 return done(absl::InternalError("reply of another kind"));
-               done(std::move(*reply));
-             });
+  Links.call(
+      leader->Address, std::move(message), steadyNow() + timeout,
+      [done = std::move(done)](const absl::StatusOr<PeerMessage> &message) {
+        if (!message.ok())
+          return done(message.status());
+        if (!std::holds_alternative<Reply>(*message))
+          return done(absl::InternalError("reply of another kind"));
+        done(std::get<Reply>(*message));
+      });
 }
 
 void LeaderCalls::apply(ApplyRules command,
@@ -95,7 +95,7 @@
   command.ProposedAtMs = wallClockMs();
   Control.submit(
       std::move(command), steadyNow() + ApplyTimeout,
-      [this, operationId, done = std::move(done)](absl::Status status) {
+      [this, operationId, done = std::move(done)](const absl::Status &status) {
         // Also after an unknown outcome: the result may have come
         // with a snapshot.
         const auto result = Control.state().findResult(operationId);
--- a/Source/ControlDaemon/NodeChannel.cpp
+++ b/Source/ControlDaemon/NodeChannel.cpp
@@ -37,7 +37,7 @@
 
 void NodeChannel::onMessage(ConnectionId from, const Subscribe &message) {
   Connection &connection = Connections[from];
-  connection.Subscribed = true;
+  connection.Subscription = message;
   connection.Sent = message.Have;
   connection.Parts.clear();
   Calls.subscribe(message);
@@ -45,9 +45,13 @@
 }
 
 void NodeChannel::onMessage(ConnectionId from, const LeaseRequest &message) {
+  Connection &connection = Connections[from];
+  if (connection.Subscription)
+    connection.Subscription->Have = message.Have;
   Calls.renewLease(message);
+  subscribeAgain(connection);
   // The table goes first, so that a node that gets the grant has it in force.
-  push(from, Connections[from]);
+  push(from, connection);
   LeaseGrant grant;
   grant.Committed = Control.state().published();
   grant.ValidMs = static_cast<std::uint32_t>(
@@ -62,6 +66,17 @@
   });
 }
 
+void NodeChannel::subscribeAgain(const Connection &connection) {
+  if (!connection.Subscription)
+    return;
+  const Subscribe &wanted = *connection.Subscription;
+  const auto known = Control.state().findBalancer(wanted.Node);
+  const bool canRegister =
+      Control.state().findDataCentre(wanted.DataCentre).has_value();
+  if (canRegister && (!known || known->Address != wanted.Address))
+    Calls.subscribe(wanted);
+}
+
 void NodeChannel::publish() {
   for (auto &[id, connection] : Connections)
     push(id, connection);
@@ -80,7 +95,7 @@
 
 void NodeChannel::push(ConnectionId to, Connection &connection) {
   // Changes that come while parts wait are sent together afterwards.
-  if (connection.Subscribed && connection.Parts.empty())
+  if (connection.Subscription && connection.Parts.empty())
     queueUpdates(connection);
   while (!connection.Parts.empty() && connection.Budget > 0) {
     connection.Budget -=
@@ -113,8 +128,9 @@
 
 std::size_t NodeChannel::subscribers() const {
   return static_cast<std::size_t>(
-      std::count_if(Connections.begin(), Connections.end(),
-                    [](const auto &it) { return it.second.Subscribed; }));
+      std::count_if(Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.Subscription.has_value();
+      }));
 }
 
 void NodeChannel::stop() {
--- a/Source/ControlDaemon/NodeChannel.h
+++ b/Source/ControlDaemon/NodeChannel.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace pistachio {
@@ -41,7 +42,8 @@
 
 private:
   struct Connection {
-    bool Subscribed = false;
+    /// The first message of a balancer.
+    std::optional<Subscribe> Subscription;
     /// Revision that the node has once everything queued has arrived.
     Revision Sent;
     std::deque<Bytes> Parts;
@@ -58,6 +60,9 @@
   void onMessage(ConnectionId from, const Other & /*message*/) {
     Server->close(from);
   }
+  /// The leader may not have got the subscription, may have removed the
+  /// balancer since, or its data centre may have come into the rules only now.
+  void subscribeAgain(const Connection &connection);
   void push(ConnectionId to, Connection &connection);
   void queueUpdates(Connection &connection);
   void reply(ConnectionId to, const NodeMessage &message);
--- a/Source/Core/Control/AnnouncementTracker.cpp
+++ b/Source/Core/Control/AnnouncementTracker.cpp
@@ -1,6 +1,5 @@
 #include "Control/Control.h"
 
-#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -52,8 +51,7 @@
       return;
     const BalancerRecord wanted{subscribe.Node, dataCentre->Id,
                                 subscribe.Address};
-    const std::vector<BalancerRecord> known = state.balancers();
-    if (std::find(known.begin(), known.end(), wanted) == known.end())
+    if (state.findBalancer(subscribe.Node) != wanted)
       propose(PendingBalancers, subscribe.Node,
               BalancerJoined{subscribe.Node, subscribe.DataCentre,
                              subscribe.Address},
--- a/Source/Core/Control/Control.h
+++ b/Source/Core/Control/Control.h
@@ -67,6 +67,8 @@
   virtual std::optional<UpstreamInfo>
   findUpstream(const Endpoint &address) const = 0;
   virtual std::vector<BalancerRecord> balancers() const = 0;
+  virtual std::optional<BalancerRecord>
+  findBalancer(std::string_view name) const = 0;
   virtual std::optional<ServiceRecord>
   findService(std::string_view name) const = 0;
   virtual std::optional<DataCentreRecord>
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -75,6 +75,13 @@
     return all;
   }
 
+  std::optional<BalancerRecord>
+  findBalancer(std::string_view name) const override {
+    const auto it = Data.Balancers.find(name);
+    return it == Data.Balancers.end() ? std::nullopt
+                                      : std::optional(it->second);
+  }
+
   std::optional<ServiceRecord>
   findService(std::string_view name) const override {
     const auto it = Data.Services.find(name);
