Answer a new upstream's announcement once it is committed

Purpose: balancers send to an upstream as soon as its record is published; until its next announcement, a second later, the agent did not know its id and did not accept those packets.

Ruled out: a shorter announcement interval for new agents, which only makes the gap smaller.

Changed: LeaderCalls holds the reply back until the join is applied, for at most 700 ms. The daemon test checked the last grant against the table, which a faster join breaks while a grant is on the way; it now checks at each grant that the table came first, and waits for one that fits the table. Its ports lie below the range of outgoing connections.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -124,8 +124,10 @@
     Links->send(it.To.Address, it.Message);
   };
   hooks.OnPublished = [this] {
-    if (Nodes)
-      Nodes->publish();
+    if (!Nodes)
+      return;
+    Nodes->publish();
+    Calls->onPublished();
   };
   // Commands of all messages that are ready to be read are queued before the
   // posted handler runs, and share one sync.
@@ -164,6 +166,7 @@
   Membership->tick(now);
   Links->tick(now);
   Nodes->tick(now);
+  Calls->tick(now);
   if (Membership->needsToJoin())
     askToJoin(now);
   else
--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -13,6 +13,8 @@
 constexpr Duration ForwardedApplyTimeout{6000};
 constexpr Duration ReadTimeout{2000};
 constexpr Duration NodeCallTimeout{1000};
+/// Below the call timeout of the forwarding member and the renewal interval.
+constexpr Duration JoinTimeout{700};
 
 CallOutcome outcomeOf(const absl::Status &status) {
   switch (status.code()) {
@@ -160,7 +162,7 @@
 void LeaderCalls::announce(const Announce &announce,
                            std::function<void(const AnnounceReply &)> done) {
   if (Control.isLeader())
-    return done(Control.onAnnounce(announce, steadyNow()));
+    return announceHere(announce, std::move(done));
   forwardNode(announce, [done = std::move(done)](
                             absl::StatusOr<ForwardedNodeReply> reply) {
     if (reply.ok() && reply->Outcome == CallOutcome::Answered) {
@@ -237,31 +239,56 @@
             });
 }
 
-ForwardedNodeReply LeaderCalls::nodeMessageHere(const NodeMessage &message) {
-  const TimePoint now = steadyNow();
-  ForwardedNodeReply reply;
-  reply.Outcome = CallOutcome::Answered;
-  if (const auto *announce = std::get_if<Announce>(&message)) {
-    if (!encodeNode(Control.onAnnounce(*announce, now), reply.Message).ok())
-      reply.Outcome = CallOutcome::Unknown;
-  } else if (const auto *subscribe = std::get_if<Subscribe>(&message)) {
-    Control.onSubscribe(*subscribe, now);
-  } else if (const auto *request = std::get_if<LeaseRequest>(&message)) {
-    Control.onLeaseRequest(*request, now);
-  }
-  return reply;
-}
-
 void LeaderCalls::answer(const ForwardedNodeMessage &call,
                          const PeerLinks::SendReply &reply) {
+  const TimePoint now = steadyNow();
   ForwardedNodeReply message;
-  const absl::StatusOr<NodeMessage> node = decodeNode(call.Message);
-  if (Control.isLeader() && node.ok())
-    message = nodeMessageHere(*node);
   message.Call = call.Call;
+  const absl::StatusOr<NodeMessage> node = decodeNode(call.Message);
+  if (!Control.isLeader() || !node.ok())
+    return reply(message);
+  message.Outcome = CallOutcome::Answered;
+  if (const auto *announce = std::get_if<Announce>(&*node))
+    return announceHere(*announce, [message, reply](const AnnounceReply &it) {
+      ForwardedNodeReply answer = message;
+      if (!encodeNode(it, answer.Message).ok())
+        answer.Outcome = CallOutcome::Unknown;
+      reply(answer);
+    });
+  if (const auto *subscribe = std::get_if<Subscribe>(&*node))
+    Control.onSubscribe(*subscribe, now);
+  else if (const auto *request = std::get_if<LeaseRequest>(&*node))
+    Control.onLeaseRequest(*request, now);
   reply(message);
 }
 
+void LeaderCalls::announceHere(const Announce &announce, AnnounceDone done) {
+  const TimePoint now = steadyNow();
+  const AnnounceReply reply = Control.onAnnounce(announce, now);
+  const bool joins = !reply.Upstream && !announce.Leaving &&
+                     reply.Result != AnnounceResult::Rejected &&
+                     reply.Result != AnnounceResult::Unavailable;
+  if (!joins)
+    return done(reply);
+  Joins.push_back({announce, now + JoinTimeout, std::move(done)});
+}
+
+bool LeaderCalls::finishJoin(const PendingJoin &join, TimePoint now) {
+  const auto known = Control.state().findUpstream(join.Sent.Address);
+  const bool isCommitted = known && known->Record.Run == join.Sent.Run;
+  if (!isCommitted && now < join.Deadline && Control.isLeader())
+    return false;
+  join.Done(Control.onAnnounce(join.Sent, now));
+  return true;
+}
+
+void LeaderCalls::onPublished() { tick(steadyNow()); }
+
+void LeaderCalls::tick(TimePoint now) {
+  std::erase_if(Joins,
+                [&](const PendingJoin &it) { return finishJoin(it, now); });
+}
+
 void LeaderCalls::answer(const LeaderQuery &call,
                          const PeerLinks::SendReply &reply) {
   reply(LeaderReply{call.Call, Control.holdsLeaderLease(steadyNow()),
--- a/Source/ControlDaemon/LeaderCalls.h
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pistachio {
 
@@ -26,6 +27,8 @@
              std::function<void(absl::StatusOr<ApplyReply>)> done);
   void readRules(std::function<void(absl::StatusOr<RulesReply>)> done);
   void readContacts(std::function<void(absl::StatusOr<StatusReply>)> done);
+  /// A new upstream is answered once it is committed, so that the agent knows
+  /// its id when balancers begin to send to it.
   void announce(const Announce &announce,
                 std::function<void(const AnnounceReply &)> done);
   void subscribe(const Subscribe &subscribe);
@@ -35,8 +38,22 @@
   void confirmLeader(std::function<void(std::uint64_t commitIndex)> done);
 
   void onCall(const PeerMessage &message, const PeerLinks::SendReply &reply);
+  /// The published revision changed.
+  void onPublished();
+  void tick(TimePoint now);
 
 private:
+  using AnnounceDone = std::function<void(const AnnounceReply &)>;
+
+  /// An announcement whose upstream is not committed yet.
+  struct PendingJoin {
+    Announce Sent;
+    TimePoint Deadline;
+    AnnounceDone Done;
+  };
+
+  void announceHere(const Announce &announce, AnnounceDone done);
+  bool finishJoin(const PendingJoin &join, TimePoint now);
   template <typename Reply>
   void callLeader(PeerMessage message, Duration timeout,
                   std::function<void(absl::StatusOr<Reply>)> done);
@@ -47,7 +64,6 @@
   void
   forwardNode(const NodeMessage &message,
               std::function<void(absl::StatusOr<ForwardedNodeReply>)> done);
-  ForwardedNodeReply nodeMessageHere(const NodeMessage &message);
 
   void answer(const ForwardedApply &call, const PeerLinks::SendReply &reply);
   void answer(const ForwardedNodeMessage &call,
@@ -60,6 +76,7 @@
 
   ReplicatedControl &Control;
   PeerLinks &Links;
+  std::vector<PendingJoin> Joins;
 };
 
 } // namespace pistachio
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -18,11 +18,24 @@
 constexpr int MaxPolls = 600;
 constexpr Duration PollInterval{50};
 
+/// Ports below the range from which the system takes those of outgoing
+/// connections; one of that range could be taken before it is bound again.
+constexpr std::uint16_t FirstPort = 20000;
+constexpr std::uint16_t PortCount = 10000;
+
 Endpoint freeEndpoint(boost::asio::io_context &context) {
+  static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * 32;
   TcpHandlers handlers;
   handlers.OnOpen = handlers.OnClose = [](ConnectionId) {};
   handlers.OnFrame = [](ConnectionId, std::span<const std::byte>) {};
-  return (*listenTcp(context, {0x7F000001, 0}, handlers))->endpoint();
+  for (int i = 0; i < PortCount; ++i) {
+    const auto port =
+        static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
+    if (const auto server = listenTcp(context, {0x7F000001, port}, handlers);
+        server.ok())
+      return (*server)->endpoint();
+  }
+  throw std::runtime_error("no free port");
 }
 
 /// One control instance on a thread of its own.
@@ -79,7 +92,7 @@
       if (const auto *update = std::get_if<TableUpdate>(&*message))
         Table.receive(*update);
       else if (const auto *grant = std::get_if<LeaseGrant>(&*message))
-        Grant = *grant;
+        onGrant(*grant);
       else if (const auto *reply = std::get_if<AnnounceReply>(&*message))
         Reply = *reply;
     };
@@ -104,11 +117,22 @@
     return condition();
   }
 
+  /// The lease is valid for the table that is in force.
+  bool isLeased() const {
+    return Grant.ValidMs > 0 && Grant.Committed == Table.At;
+  }
+
   NodeTable Table;
   LeaseGrant Grant;
   AnnounceReply Reply;
 
 private:
+  void onGrant(const LeaseGrant &grant) {
+    // The table comes before the grant that refers to it.
+    EXPECT_LE(grant.Committed, Table.At);
+    Grant = grant;
+  }
+
   boost::asio::io_context Context;
   std::unique_ptr<TcpClient> Client;
 };
@@ -195,11 +219,10 @@
   {
     NodeProbe node(Instances[0]->Settings.Nodes);
     EXPECT_TRUE(node.waitFor([&] {
-      return node.Grant.ValidMs > 0 && node.Table.find(addressOf(1)) &&
+      return node.isLeased() && node.Table.find(addressOf(1)) &&
              node.Reply.Result == AnnounceResult::Accepted &&
              node.Reply.Upstream;
     }));
-    EXPECT_EQ(node.Grant.Committed, node.Table.At);
     EXPECT_EQ(node.Table.Services.size(), 2U);
   }
   Instances[0]->stop();
@@ -232,7 +255,7 @@
 
   NodeProbe node(Instances[2]->Settings.Nodes);
   const auto isServed = [&] {
-    return node.Grant.ValidMs > 0 && node.Table.find(addressOf(1)) &&
+    return node.isLeased() && node.Table.find(addressOf(1)) &&
            node.Table.Balancers.contains("balancer-1");
   };
   EXPECT_TRUE(node.waitFor(isServed));
