Pass forwarded calls by reference

Purpose: clang-tidy reports a copy. Ruled out: a constant reference, which copies up to 768 KiB of rules. Changed: LeaderCalls::callLeader.

--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -46,7 +46,7 @@
 } // namespace
 
 template <typename Reply>
-void LeaderCalls::callLeader(PeerMessage message, Duration timeout,
+void LeaderCalls::callLeader(PeerMessage &&message, Duration timeout,
                              std::function<void(absl::StatusOr<Reply>)> done) {
   const std::optional<Member> leader = Control.node().leader();
   if (!leader || leader->Address.Port == 0 || Control.isLeader())
--- a/Source/ControlDaemon/LeaderCalls.h
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -55,7 +55,7 @@
   void announceHere(const Announce &announce, AnnounceDone done);
   bool finishJoin(const PendingJoin &join, TimePoint now);
   template <typename Reply>
-  void callLeader(PeerMessage message, Duration timeout,
+  void callLeader(PeerMessage &&message, Duration timeout,
                   std::function<void(absl::StatusOr<Reply>)> done);
   void applyHere(ApplyRules command,
                  std::function<void(absl::StatusOr<ApplyReply>)> done);
