--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -124,8 +124,10 @@
     Links->send(it.To.Address, it.Message);
   };
   hooks.OnPublished = [this] {
-    if (Nodes)
-      Nodes->publish();
+    if (!Nodes)
+      return;
+    Nodes->publish();
+    Calls->onPublished();
   };
   // Commands of all messages that are ready to be read are queued before the
   // posted handler runs, and share one sync.
@@ -140,7 +142,8 @@
   handlers.OnConsensus = [this](const ConsensusMessage &it) {
     onConsensus(it);
   };
-  handlers.OnCall = [this](const PeerMessage &it, PeerLinks::SendReply reply) {
+  handlers.OnCall = [this](const PeerMessage &it,
+                           const PeerLinks::SendReply &reply) {
     Calls->onCall(it, reply);
   };
   return handlers;
@@ -163,8 +166,11 @@
   Membership->tick(now);
   Links->tick(now);
   Nodes->tick(now);
+  Calls->tick(now);
   if (Membership->needsToJoin())
     askToJoin(now);
+  else
+    followMembers();
   confirmLeader(now);
   logRoleChange();
   const ConsensusNode &node = Control->node();
@@ -196,6 +202,16 @@
     Links->send(target, Membership->joinRequest());
 }
 
+void ControlDaemon::followMembers() {
+  std::vector<Member> members = Control->node().members();
+  if (members == LastMembers)
+    return;
+  Links->keepOnly(members);
+  logEvent(LogLevel::Info, "members_changed", "members of the group changed",
+           {{"members", std::to_string(members.size())}});
+  LastMembers = std::move(members);
+}
+
 void ControlDaemon::confirmLeader(TimePoint now) {
   if (now - LastConfirmation < ConfirmInterval)
     return;
