--- a/Source/UnitTests/Fakes/FakeBackEndMain.cpp
+++ b/Source/UnitTests/Fakes/FakeBackEndMain.cpp
@@ -44,7 +44,7 @@
 public:
   BackEnd(boost::asio::io_context &context, BackEndOptions options,
           LedgerFile &ledger)
-      : Context(context), Options(std::move(options)), Ledger(ledger),
+      : Options(std::move(options)), Ledger(ledger),
         Acceptor(context, tcp::endpoint(boost::asio::ip::address_v4(
                                             Options.Listen.Address),
                                         Options.Listen.Port)),
@@ -137,7 +137,6 @@
                       [it](error_code, std::size_t) { it->Stream.close(); });
   }
 
-  boost::asio::io_context &Context;
   BackEndOptions Options;
   LedgerFile &Ledger;
   tcp::acceptor Acceptor;
--- /dev/null
+++ b/Source/UnitTests/Fakes/LedgerCheckTest.cpp
@@ -0,0 +1,79 @@
+#include "Fakes/LedgerCheck.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachio {
+namespace {
+
+struct BookCase {
+  const char *Name;
+  /// S: start (s: idempotent); R: run, r: run with another answer, O: run by
+  /// another service, C: run with another body; a: answered, n: not run,
+  /// u: unknown.
+  const char *Events;
+  std::size_t Wrong;
+  std::size_t Lost;
+  std::size_t Doubled;
+  friend std::ostream &operator<<(std::ostream &out, const BookCase &it) {
+    return out << it.Name;
+  }
+};
+
+class Books : public testing::TestWithParam<BookCase> {};
+
+// Guards against a check that lets a kind of breach pass, or reports one where
+// there is none.
+TEST_P(Books, GiveTheTotals) {
+  const std::map<char, std::string> lines = {
+      {'S', R"("event":"start","service":"a","idempotent":false,"checksum":4)"},
+      {'s', R"("event":"start","service":"a","idempotent":true,"checksum":4)"},
+      {'R', R"("event":"run","service":"a","checksum":4,"answer":5)"},
+      {'r', R"("event":"run","service":"a","checksum":4,"answer":6)"},
+      {'O', R"("event":"run","service":"b","checksum":4,"answer":5)"},
+      {'C', R"("event":"run","service":"a","checksum":9,"answer":5)"},
+      {'a', R"("event":"result","result":"answered","answer":5)"},
+      {'n', R"("event":"result","result":"not_run","answer":0)"},
+      {'u', R"("event":"result","result":"unknown","answer":0)"}};
+  LedgerCheck check;
+  for (const char it : std::string_view(GetParam().Events))
+    ASSERT_TRUE(check.addLine(R"({"id":"x",)" + lines.at(it) + "}"));
+  const LedgerTotals totals = check.totals();
+  EXPECT_EQ(totals.Requests, 1u);
+  EXPECT_EQ(totals.Wrong, GetParam().Wrong);
+  EXPECT_EQ(totals.Lost, GetParam().Lost);
+  EXPECT_EQ(totals.Doubled, GetParam().Doubled);
+  EXPECT_FALSE(check.addLine(R"({"event":"start","id":"x"})"));
+  EXPECT_FALSE(check.addLine("{"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, Books,
+    testing::Values(BookCase{"answered", "SRa", 0, 0, 0},
+                    BookCase{"upstreamFirst", "RaS", 0, 0, 0},
+                    BookCase{"refused", "Sn", 0, 0, 0},
+                    BookCase{"unknownAndRan", "SRu", 0, 0, 0},
+                    BookCase{"unknownAndNotRan", "Su", 0, 0, 0},
+                    BookCase{"idempotentTwice", "sRRa", 0, 0, 0},
+                    BookCase{"idempotentOtherAnswer", "srRa", 0, 0, 0},
+                    BookCase{"twice", "SRRa", 0, 0, 1},
+                    BookCase{"twiceUnknown", "SRRu", 0, 0, 1},
+                    BookCase{"notRunButRan", "SRn", 0, 1, 0},
+                    BookCase{"answeredButNotRun", "Sa", 0, 1, 0},
+                    BookCase{"noResult", "SR", 0, 1, 0},
+                    BookCase{"twoResults", "SRau", 0, 1, 0},
+                    BookCase{"otherAnswer", "Sra", 1, 0, 0},
+                    BookCase{"otherService", "SOa", 1, 0, 0},
+                    BookCase{"otherBody", "SCa", 1, 0, 0}),
+    [](const testing::TestParamInfo<BookCase> &info) {
+      return std::string(info.param.Name);
+    });
+
+// Guards against a run that no caller asked for and that nobody notices.
+TEST(LedgerCheckTest, ReportsRunWithoutStart) {
+  LedgerCheck check;
+  check.addRun("y", {"a", 1, 2});
+  EXPECT_EQ(check.totals().Wrong, 1u);
+}
+
+} // namespace
+} // namespace pistachio
