Place earlier ranks right when a walk has left its first chain

Weights now tell that the member was asked. Established packets still go to it: asking twice is harmless, and a reset is not.

Comparison operators are exempt from modernize-use-nullptr, which reports the zero of rewritten comparisons.

--- a/Source/Core/Common/Endpoint.h
+++ b/Source/Core/Common/Endpoint.h
@@ -16,8 +16,10 @@
   std::uint32_t Address = 0;
   std::uint16_t Port = 0;
 
+  // Reported for rewritten comparisons: NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const Endpoint &,
                                     const Endpoint &) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 /// Parses "A.B.C.D:PORT". The port must be 1 to 65535, or 0 where \p
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -14,8 +14,10 @@
   Rep Value = 0;
 
   constexpr explicit operator bool() const { return Value != 0; }
+  // Reported for rewritten comparisons: NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const StrongId &,
                                     const StrongId &) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 using ServiceId = StrongId<struct ServiceIdTag, std::uint32_t>;
@@ -38,8 +40,10 @@
 struct RequestId {
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
+  // Reported for rewritten comparisons: NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const RequestId &,
                                     const RequestId &) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 } // namespace pistachio
--- a/Source/Core/Placement/FlowPlacement.cpp
+++ b/Source/Core/Placement/FlowPlacement.cpp
@@ -58,12 +58,15 @@
 Place placeOf(const ForwardedPacket &packet, const HandOver &memory) {
   if (const auto it = findInChain(packet, memory.Target))
     return *it <= packet.ChainIndex ? Place::Before : Place::InChain;
-  if (packet.TableRevision < memory.At)
-    return Place::NotYetKnown;
-  // Every node computes the same weights, so a member that is missing between
-  // the ends of the chain is not in the ranking of the balancer.
+  // Every node computes the same weights. They tell where in the ranking a
+  // member stands that the chain does not hold.
   const std::uint64_t weight =
       rankWeight(packet.Bucket, memory.Target.Upstream);
+  if (has(packet, PacketFlag::First) && packet.FirstRank > 0 &&
+      weight > rankWeight(packet.Bucket, packet.Chain.front().Upstream))
+    return Place::Before;
+  if (packet.TableRevision < memory.At)
+    return Place::NotYetKnown;
   if (!packet.EndsRanking &&
       weight < rankWeight(packet.Bucket, packet.Chain.back().Upstream))
     return Place::Beyond;
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -17,7 +17,9 @@
 struct FlowKey {
   Endpoint Caller;
   FlowId Flow;
+  // Reported for rewritten comparisons: NOLINTBEGIN(modernize-use-nullptr)
   friend constexpr auto operator<=>(const FlowKey &, const FlowKey &) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 struct AdmissionOptions {
--- a/Source/Core/Routing/TableFollower.cpp
+++ b/Source/Core/Routing/TableFollower.cpp
@@ -75,9 +75,7 @@
 public:
   explicit ShardedMapEditor(ShardedMap<Key> &map) : Map(map) {}
 
-  void set(const Key &key, ServicePtr value) {
-    shard(key)[key] = std::move(value);
-  }
+  void set(const Key &key, const ServicePtr &value) { shard(key)[key] = value; }
   void erase(const Key &key) { shard(key).erase(key); }
 
 private:
