Keep the demo's first progress line free of an error

Purpose: before the first ledger exists, cat reported a missing file. Changed: that message is dropped.

--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -181,7 +181,7 @@
 }
 
 progress() {
-  say "$(cat "$work"/caller-*.ledger | awk '
+  say "$(cat "$work"/caller-*.ledger 2> /dev/null | awk '
     /"event":"start"/ {s++} /"result":"answered"/ {a++} /"result":"not_run"/ {r++} /"result":"unknown"/ {u++}
     END {printf "started=%d answered=%d refused=%d unknown=%d", s, a, r, u}')"
 }
