Enforce the limit and slots rules at the agents

Cause: a limit line was accepted and published nowhere, so it was never in force. Ruled out: a count of requests at the balancers, since none of them sees the sum. The reply to an announcement now carries the bound for this upstream: the service's slots and an equal share of its limit.

--- a/Source/Core/Control/AnnouncementTracker.cpp
+++ b/Source/Core/Control/AnnouncementTracker.cpp
@@ -1,4 +1,5 @@
 #include "Control/Control.h"
+#include "Control/SlotBounds.h"
 
 #include <map>
 #include <utility>
@@ -131,6 +132,7 @@
                       std::vector<LogCommand> &proposals);
 
   AnnouncementOptions Options;
+  SlotBounds Bounds;
   std::map<UpstreamId, UpstreamContact> Upstreams;
   std::map<std::string, BalancerContact> Balancers;
   std::map<Endpoint, LeftIncarnation> Left;
@@ -176,6 +178,7 @@
   AnnounceReply reply;
   reply.Result = AnnounceResult::Accepted;
   reply.Service = state.findService(announce.Service)->Id;
+  reply.Slots = Bounds.find(announce.Service, state);
   const bool isKnown = known && known->Record.Run == announce.Run;
   if (isKnown) {
     reply.Upstream = known->Record.Id;
