--- a/Source/Benchmarks/ControlBench.cpp
+++ b/Source/Benchmarks/ControlBench.cpp
@@ -7,6 +7,7 @@
 #include <benchmark/benchmark.h>
 
 #include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace pistachio {
@@ -27,10 +28,21 @@
   bench->Unit(benchmark::kMicrosecond);
 }
 
+/// Resident memory of this process in bytes; second field of statm, in pages.
+double residentBytes() {
+  constexpr double PageBytes = 4096;
+  std::ifstream in("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  in >> total >> resident;
+  return resident * PageBytes;
+}
+
 /// Time and bytes of one change at a node; memory of the node's table.
 void nodeChange(benchmark::State &state) {
   const SiteSize size = sizeOf(state);
   TableFollower follower;
+  const double before = residentBytes();
   for (const TableUpdate &it : makeTable(size))
     follower.apply(it).IgnoreError();
   std::uint32_t upstream = 0;
@@ -44,6 +56,7 @@
   if (!encodeNode(makeDelta(size, Revision{1}, 0), buf).ok())
     state.SkipWithError("the change cannot be encoded");
   state.counters["delta_bytes"] = static_cast<double>(buf.size());
+  state.counters["resident_bytes"] = residentBytes() - before;
   state.counters["table_bytes"] =
       static_cast<double>(follower.table()->memoryBytes());
 }
--- a/Source/Benchmarks/NodeLoad.cpp
+++ b/Source/Benchmarks/NodeLoad.cpp
@@ -19,19 +19,20 @@
   std::uint64_t BytesSent = 0;
 };
 
-/// One connection that behaves like a balancer: it subscribes and renews its
-/// lease.
+/// One connection that behaves like a balancer, which subscribes and renews its
+/// lease, or like an agent, which announces an upstream of a service.
 class SimulatedNode {
 public:
   SimulatedNode(boost::asio::io_context &context, const Endpoint &control,
-                std::string name, std::string dataCentre, std::uint16_t port,
-                Totals &totals)
-      : Name(std::move(name)), DataCentre(std::move(dataCentre)), Port(port),
-        Sum(totals) {
+                std::string name, std::string dataCentre, std::string service,
+                std::uint16_t port, Totals &totals)
+      : Name(std::move(name)), DataCentre(std::move(dataCentre)),
+        Service(std::move(service)), Address{0x7F000002, port}, Sum(totals) {
     TcpHandlers handlers;
     handlers.OnOpen = [this](ConnectionId) {
       ++Sum.Open;
-      send(Subscribe{Name, DataCentre, {0x7F000002, Port}, Have});
+      if (Service.empty())
+        send(Subscribe{Name, DataCentre, Address, Have});
     };
     handlers.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
       onFrame(frame);
@@ -44,7 +45,11 @@
     if (!Client->isOpen())
       return;
     ++Sum.Requests;
-    send(LeaseRequest{Name, Have});
+    if (Service.empty())
+      send(LeaseRequest{Name, Have});
+    else
+      send(Announce{Service, DataCentre, "zone", Name, Address, Incarnation{1},
+                    5, 0, false, false});
   }
 
 private:
@@ -67,12 +72,16 @@
         Have = update->To;
     } else if (const auto *grant = std::get_if<LeaseGrant>(&*message)) {
       Sum.Grants += grant->ValidMs > 0 ? 1 : 0;
+    } else if (const auto *reply = std::get_if<AnnounceReply>(&*message)) {
+      Sum.Grants += reply->Result == AnnounceResult::Accepted ? 1 : 0;
     }
   }
 
   std::string Name;
   std::string DataCentre;
-  std::uint16_t Port;
+  /// Empty for a balancer.
+  std::string Service;
+  Endpoint Address;
   Totals &Sum;
   Revision Have;
   std::unique_ptr<TcpClient> Client;
@@ -81,9 +90,10 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  TCLAP::CmdLine line("Simulates many balancers towards one control instance: "
-                      "subscriptions and lease renewals.",
-                      ' ', "0.1.0");
+  TCLAP::CmdLine line(
+      "Simulates many balancers or agents towards one control instance: "
+      "subscriptions and renewals.",
+      ' ', "0.1.0");
   TCLAP::ValueArg<std::string> control("", "control",
                                        "node endpoint of the control instance",
                                        true, "", "IP:PORT", line);
@@ -96,6 +106,9 @@
   TCLAP::ValueArg<std::string> dataCentre("", "data-centre",
                                           "data centre of the nodes", false,
                                           "ee-north-a", "NAME", line);
+  TCLAP::ValueArg<std::string> service(
+      "", "announce", "simulate agents of this service instead of balancers",
+      false, "", "SERVICE", line);
   line.parse(argc, argv);
   const auto endpoint = parseEndpoint(control.getValue());
   if (!endpoint.ok()) {
@@ -109,7 +122,8 @@
   for (int i = 0; i < nodes.getValue(); ++i)
     all.push_back(std::make_unique<SimulatedNode>(
         context, *endpoint, "simulated-" + std::to_string(i),
-        dataCentre.getValue(), static_cast<std::uint16_t>(i + 1), totals));
+        dataCentre.getValue(), service.getValue(),
+        static_cast<std::uint16_t>(i + 1), totals));
   // Renewals of all nodes are spread evenly over the interval.
   std::size_t next = 0;
   const TimePoint start = steadyNow();
--- a/Tools/bench.sh
+++ b/Tools/bench.sh
@@ -83,6 +83,19 @@
   echo "nodes=$n control_cpu_percent=$(awk "BEGIN {print ($after - $before) / 5}") control_resident_kib=$(resident_kib "$control") $(cat "$out/node-load-$n.txt")"
 done | tee "$out/node-load.txt"
 
+echo "== control instance: CPU and memory against simulated agents that announce once a second"
+for n in 100 400 800; do
+  "$bin"/Benchmarks/node-load --control "127.0.0.1:$port" --nodes "$n" --seconds 12 --interval-ms 1000 \
+    --data-centre bench-a --announce bench-api > "$out/agent-load-$n.txt" &
+  load=$!
+  sleep 6
+  before=$(cpu_ticks "$control")
+  sleep 5
+  after=$(cpu_ticks "$control")
+  wait "$load"
+  echo "agents=$n control_cpu_percent=$(awk "BEGIN {print ($after - $before) / 5}") control_resident_kib=$(resident_kib "$control") $(cat "$out/agent-load-$n.txt")"
+done | tee "$out/agent-load.txt"
+
 echo "== idle balancer: control CPU and memory"
 before=$(cpu_ticks "$balancer")
 sleep 10
