Reset the open flows of a data centre that is taken out

Cause: on the transition to Lifecycle::Out an agent closed its flows without telling their callers. An idle caller learned of it only by its next packet, and a non-idempotent request in that packet ended as outcome unknown although another data centre could have run it.

Change: FlowPlacement emits one Reset for each open flow when it goes out.

Ruled out: a change to CallerSession. A new test shows that a reset of an idle flow opens a new one, and that a late reset of the former flow does not break the present one; it passed without a change.

Conclusion: the resets are datagrams that may be lost; such a caller still learns by its next packet, as before.

--- a/Source/Core/Placement/FlowPlacement.cpp
+++ b/Source/Core/Placement/FlowPlacement.cpp
@@ -508,8 +508,16 @@
 }
 
 void AgentPlacement::closeAll(PlacementOutput &output) {
-  for (const auto &[key, entry] : Flows)
+  // An idle caller would otherwise learn of it by its next packet only, and a
+  // request in that packet would end with an unknown outcome.
+  for (const auto &[key, entry] : Flows) {
     output.Closed.push_back(key);
+    CallerAnswer reset;
+    reset.Flow = key.Flow;
+    reset.Kind = AnswerKind::Reset;
+    output.Datagrams.push_back({key.Caller, std::move(reset)});
+  }
+  Counters.Resets += Flows.size();
   Flows.clear();
   Memory.clear();
 }
--- a/Source/UnitTests/Session/CallerSessionTest.cpp
+++ b/Source/UnitTests/Session/CallerSessionTest.cpp
@@ -121,6 +121,35 @@
   EXPECT_EQ(peer.Output.Results[0].Kind, ResultKind::OutcomeUnknown);
 }
 
+// Guards against an idle caller that stays without a flow after an unsolicited
+// reset, so that its next request is sent into a lost one, and against a late
+// reset of the former flow that breaks the present one.
+TEST(CallerSessionTest, IdleFlowThatIsResetOpensAnew) {
+  Peer peer;
+  peer.pass(Duration(10));
+  peer.tell(AnswerKind::Accept);
+  ASSERT_TRUE(peer.Session->isOpen());
+  const FlowId former = peer.Output.Packets.back().Flow;
+  peer.tell(AnswerKind::Reset);
+  EXPECT_FALSE(peer.Session->isOpen());
+  peer.pass(Duration(300));
+  const FlowId present = peer.Output.Packets.back().Flow;
+  ASSERT_NE(present, former);
+  EXPECT_EQ(peer.Output.Packets.back().Flags, PacketFlag::First);
+  // Once while the present flow opens, and once while it is open.
+  peer.tell(AnswerKind::Reset, nullptr, former);
+  peer.tell(AnswerKind::Accept, nullptr, present);
+  peer.tell(AnswerKind::Reset, nullptr, former);
+  EXPECT_TRUE(peer.Session->isOpen());
+  peer.start(1, false);
+  EXPECT_EQ(peer.Output.Packets.back().Flow, present);
+  EXPECT_EQ(peer.sent().Request, (RequestId{1, 1}));
+  EXPECT_EQ(peer.Session->openRequests(), 1u);
+  EXPECT_TRUE(peer.Output.Results.empty());
+  EXPECT_EQ(peer.Session->counters().FlowsOpened, 2u);
+  EXPECT_EQ(peer.Session->counters().FlowsBroken, 1u);
+}
+
 struct LostCase {
   AnswerKind Kind;
   bool Idempotent;
