--- a/Source/UnitTests/Placement/FlowPlacementTest.cpp
+++ b/Source/UnitTests/Placement/FlowPlacementTest.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
+#include <string>
 
 namespace pistachio {
 namespace {
@@ -33,8 +35,10 @@
     Placement->onAnnounceReply({result, {1}, Service, ""}, Now, Output);
   }
   void pass(Duration time) {
-    for (const TimePoint end = Now + time; Now < end; Now += Second)
+    for (const TimePoint end = Now + time; Now < end;) {
       announce();
+      Now += std::min<Duration>(Second, end - Now);
+    }
   }
   static ForwardedPacket packet(std::uint64_t flow, std::uint8_t flags) {
     ForwardedPacket out;
@@ -128,5 +132,245 @@
                            return std::string(it.param.Name);
                          });
 
+struct ChoiceCase {
+  const char *Name;
+  std::uint16_t Own;
+  /// Load that member 2 has reported, if any.
+  std::optional<std::uint16_t> Other;
+  Duration ReportAge;
+  bool IsHandedOn;
+};
+
+class ChoiceOfTwo : public testing::TestWithParam<ChoiceCase> {};
+
+// Guards against a flow that stays with the more loaded of two candidates, and
+// against flows that are handed to and fro between equal ones.
+TEST_P(ChoiceOfTwo, LessLoadedCandidateDecides) {
+  const ChoiceCase &row = GetParam();
+  Agent agent;
+  agent.Placement->setLoad(row.Own);
+  if (row.Other)
+    agent.Placement->onLoadReport({{2}, *row.Other}, agent.Now);
+  agent.pass(row.ReportAge);
+  agent.receive(Agent::packet(1, PacketFlag::First));
+  if (row.IsHandedOn) {
+    EXPECT_EQ(agent.forwarded(), std::vector{member(2).Address});
+    EXPECT_EQ(agent.answers(), Answers{});
+  } else {
+    EXPECT_EQ(agent.forwarded(), std::vector<Endpoint>{});
+    EXPECT_EQ(agent.answers(), Answers{AnswerKind::Accept});
+  }
+  const PlacementCounters counters = agent.Placement->counters();
+  EXPECT_EQ(counters.HandedOn, row.IsHandedOn ? 1u : 0u);
+  EXPECT_EQ(counters.Accepted, row.IsHandedOn ? 0u : 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, ChoiceOfTwo,
+    testing::Values(ChoiceCase{"OtherUnknown", 900, {}, Duration(0), false},
+                    ChoiceCase{"Equal", 500, 500, Duration(0), false},
+                    ChoiceCase{"WithinMargin", 520, 500, Duration(0), false},
+                    ChoiceCase{"AboveMargin", 521, 500, Duration(0), true},
+                    ChoiceCase{"OtherMoreLoaded", 100, 900, Duration(0), false},
+                    ChoiceCase{"OtherEmpty", 100, 0, Duration(0), true},
+                    ChoiceCase{"ReportStillValid", 900, 100, 5 * Second, true},
+                    ChoiceCase{"ReportTooOld", 900, 100, Duration(5001),
+                               false}),
+    [](const testing::TestParamInfo<ChoiceCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+struct FullCase {
+  const char *Name;
+  /// Full by flows, or by the load of its requests.
+  std::uint32_t MaxFlows;
+  std::uint16_t Own;
+  std::optional<std::uint16_t> Other;
+  /// The packet was handed here by member 2 for its load.
+  bool IsHandedHere;
+  bool IsRefused;
+};
+
+class FullAgent : public testing::TestWithParam<FullCase> {};
+
+// Guards against a full agent that accepts, against a refusal although another
+// candidate has room, and against two full agents that hand a flow to and fro.
+TEST_P(FullAgent, HandsOnOrRefuses) {
+  const FullCase &row = GetParam();
+  Agent agent(row.MaxFlows);
+  agent.open(2);
+  agent.Placement->setLoad(row.Own);
+  if (row.Other)
+    agent.Placement->onLoadReport({{2}, *row.Other}, agent.Now);
+  ForwardedPacket packet = Agent::packet(9, PacketFlag::First);
+  if (row.IsHandedHere) {
+    packet.Chain = {member(2), member(1), member(3)};
+    packet.ChainIndex = 1;
+    packet.Sender = {2};
+    packet.SenderLoad = 1000;
+  }
+  agent.receive(packet);
+  EXPECT_EQ(agent.Placement->flowCount(), 2u);
+  EXPECT_EQ(agent.Placement->counters().Refused, row.IsRefused ? 1u : 0u);
+  if (!row.IsRefused) {
+    EXPECT_EQ(agent.forwarded(), std::vector{member(2).Address});
+    return;
+  }
+  EXPECT_EQ(agent.forwarded(), std::vector<Endpoint>{});
+  ASSERT_EQ(agent.answers(), Answers{AnswerKind::Refused});
+  const auto &answer =
+      std::get<CallerAnswer>(agent.Output.Datagrams.back().Message);
+  EXPECT_GE(answer.RetryAfterMs, 250u);
+  EXPECT_LT(answer.RetryAfterMs, 500u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, FullAgent,
+    testing::Values(FullCase{"FlowsOtherUnknown", 2, 0, {}, false, false},
+                    FullCase{"FlowsOtherHasRoom", 2, 0, 999, false, false},
+                    FullCase{"FlowsOtherFull", 2, 0, 1000, false, true},
+                    FullCase{"FlowsHandedHere", 2, 0, {}, true, true},
+                    FullCase{"RequestsOtherHasRoom", 9, 1000, 0, false, false},
+                    FullCase{"RequestsOtherFull", 9, 1000, 1000, false, true}),
+    [](const testing::TestParamInfo<FullCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+struct IdleCase {
+  const char *Name;
+  /// Age at which the flow has a packet again; none if zero.
+  Duration UsedAt;
+  Duration Age;
+  bool IsClosed;
+};
+
+class IdleFlow : public testing::TestWithParam<IdleCase> {};
+
+// Guards against flows of vanished callers that fill the table, and against a
+// flow that is closed although its caller sends.
+TEST_P(IdleFlow, IsClosedAfterTimeout) {
+  const IdleCase &row = GetParam();
+  Agent agent;
+  agent.open(1);
+  const TimePoint opened = agent.Now;
+  if (row.UsedAt > Duration(0)) {
+    agent.Now = opened + row.UsedAt;
+    agent.receive(Agent::packet(1, PacketFlag::Established));
+  }
+  agent.Now = opened + row.Age;
+  agent.Placement->tick(agent.Now, agent.Output);
+  EXPECT_EQ(agent.Output.Closed.size(), row.IsClosed ? 1u : 0u);
+  EXPECT_EQ(agent.Placement->flowCount(), row.IsClosed ? 0u : 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, IdleFlow,
+    testing::Values(
+        IdleCase{"BeforeTimeout", Duration(0), Duration(59999), false},
+        IdleCase{"AtTimeout", Duration(0), Duration(60000), true},
+        IdleCase{"Used", Duration(59999), Duration(119998), false},
+        IdleCase{"UsedLongAgo", Duration(1000), Duration(61000), true}),
+    [](const testing::TestParamInfo<IdleCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+struct ClosedCase {
+  const char *Name;
+  std::uint8_t Flags;
+  bool IsAnswered;
+};
+
+class ClosedFlow : public testing::TestWithParam<ClosedCase> {};
+
+// Guards against a late or repeated packet that reopens a closed flow, and
+// against a repeated close that is left without an answer.
+TEST_P(ClosedFlow, StaysClosed) {
+  const Answers expected =
+      GetParam().IsAnswered ? Answers{AnswerKind::Closed} : Answers{};
+  Agent agent;
+  agent.open(1);
+  agent.receive(Agent::packet(1, PacketFlag::Established | PacketFlag::Last));
+  EXPECT_EQ(agent.answers(), Answers{AnswerKind::Closed});
+  EXPECT_EQ(agent.Output.Closed.size(), 1u);
+  for (int n = 0; n < 3; ++n) {
+    agent.Output = {};
+    agent.receive(Agent::packet(1, GetParam().Flags));
+    EXPECT_EQ(agent.answers(), expected);
+    EXPECT_EQ(agent.Output.Datagrams.size(), expected.size());
+    EXPECT_TRUE(agent.Output.Closed.empty());
+    EXPECT_TRUE(agent.Output.Delivered.empty());
+  }
+  EXPECT_EQ(agent.Placement->flowCount(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, ClosedFlow,
+    testing::Values(
+        ClosedCase{"Last", PacketFlag::Established | PacketFlag::Last, true},
+        ClosedCase{"First", PacketFlag::First, true},
+        ClosedCase{"Established", PacketFlag::Established, true},
+        ClosedCase{"BeforeAccept", 0, false}),
+    [](const testing::TestParamInfo<ClosedCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+struct DropCase {
+  const char *Name;
+  void (*Alter)(ForwardedPacket &);
+  bool IsOut;
+  std::uint64_t PlacementCounters::*Counter;
+};
+
+class DroppedPacket : public testing::TestWithParam<DropCase> {};
+
+// Guards against a packet that reaches an upstream of another service or of a
+// data centre that is out, and against packets that circle between agents.
+TEST_P(DroppedPacket, IsCountedAndNotAnswered) {
+  Agent agent;
+  agent.open(1);
+  if (GetParam().IsOut)
+    agent.announce(AnnounceResult::DataCentreOut);
+  agent.Output = {};
+  // A flow that is held here, and one that is not.
+  for (const std::uint64_t flow : {1, 2}) {
+    ForwardedPacket it = Agent::packet(flow, PacketFlag::Established);
+    it.Packet.Payload = {std::byte{1}};
+    GetParam().Alter(it);
+    agent.receive(std::move(it));
+  }
+  EXPECT_TRUE(agent.Output.Datagrams.empty());
+  const bool isHopCase = GetParam().Counter == &PlacementCounters::HopLimit;
+  EXPECT_EQ(agent.Placement->counters().*GetParam().Counter,
+            isHopCase ? 1u : 2u);
+  // Whatever the hop count, a held flow gets its packets.
+  EXPECT_EQ(agent.Output.Delivered.size(), isHopCase ? 1u : 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, DroppedPacket,
+    testing::Values(
+        DropCase{"HopLimit",
+                 [](ForwardedPacket &it) { it.HopCount = MaxHops - 1; }, false,
+                 &PlacementCounters::HopLimit},
+        DropCase{"WrongService", [](ForwardedPacket &it) { it.Service = {2}; },
+                 false, &PlacementCounters::WrongService},
+        DropCase{"NoService", [](ForwardedPacket &it) { it.Service = {}; },
+                 false, &PlacementCounters::WrongService},
+        DropCase{"Out", [](ForwardedPacket &) {}, true,
+                 &PlacementCounters::DroppedWhileOut}),
+    [](const testing::TestParamInfo<DropCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+// Guards against a limit that ends a walk too early.
+TEST(FlowPlacementTest, HopBeforeTheLimitIsTaken) {
+  Agent agent;
+  ForwardedPacket it = Agent::packet(1, PacketFlag::Established);
+  it.HopCount = MaxHops - 2;
+  agent.receive(std::move(it));
+  EXPECT_EQ(agent.forwarded(), std::vector{member(2).Address});
+  EXPECT_EQ(agent.Placement->counters().HopLimit, 0u);
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Placement/SiteControlTest.cpp
+++ b/Source/UnitTests/Placement/SiteControlTest.cpp
@@ -46,7 +46,11 @@
        it.run(3 * Second);
        it.cutOff(1, true, false);
        it.setOut(1, true);
-       it.run(6 * Second);
+       it.run(4 * Second);
+       // The agents have reset the flows above, so only callers that open new
+       // ones still send there.
+       it.openFlows(1, 100);
+       it.run(2 * Second);
      },
      &Breaches::ToRemovedDataCentre},
 };
