Add the seed of a second session after a lost accept

Cause: an agent accepts a first packet 1.3 s after its last announce reply, the accept is lost, and the agent becomes suspect. The repeated first packet does not go to suspect agents, so another one accepts the flow too.

Ruled out: that an agent without an announce reply for longer than AnnounceGap hands first packets on. The accept comes before that gap has passed.

Change: SuspectAndBackLossy with seed 1017 as rows with and without token.

--- a/Source/UnitTests/Placement/SiteFaultTest.cpp
+++ b/Source/UnitTests/Placement/SiteFaultTest.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
+#include <string_view>
+
 namespace pistachio {
 namespace {
 
@@ -200,6 +204,8 @@
   Network Net;
   bool UsesToken;
   std::uint64_t Seed;
+  /// Tells rows of the same scenario apart.
+  std::string Suffix;
 };
 
 std::vector<FaultRow> faultRows() {
@@ -208,9 +214,15 @@
   for (const Scenario &what : Scenarios) {
     for (const Network &net : {Clean, Lossy, Reordering}) {
       for (const bool usesToken : {true, false})
-        out.push_back({what, net, usesToken, ++seed});
+        out.push_back({what, net, usesToken, ++seed, ""});
     }
   }
+  // Seeds of former failures. In this one an agent accepts a flow just before
+  // it is suspect, the accept is lost, and another agent accepts the flow too.
+  const auto what = std::ranges::find(
+      Scenarios, std::string_view("SuspectAndBack"), &Scenario::Name);
+  for (const bool usesToken : {true, false})
+    out.push_back({*what, Lossy, usesToken, 1017, "Seed1017"});
   return out;
 }
 
@@ -248,7 +260,8 @@
                          [](const testing::TestParamInfo<FaultRow> &it) {
                            return std::string(it.param.What.Name) +
                                   it.param.Net.Name +
-                                  (it.param.UsesToken ? "Token" : "NoToken");
+                                  (it.param.UsesToken ? "Token" : "NoToken") +
+                                  it.param.Suffix;
                          });
 
 } // namespace
