Let agents that were suspect ask others about unconfirmed flows

Cause: an agent accepts a flow, the accept is lost, the agent becomes suspect, and another one accepts the repeated first packet. Once back, the first agent took first packets and packets without a token for its own session.

Ruled out: handing first packets on while no announce reply arrives; the accept comes before that gap can be noticed. Dropping unconfirmed flows on return: a caller that saw the accept and is idle would lose its flow.

Change: a flow is unconfirmed until a packet with flag Established arrives. If the agent may have been suspect since it accepted it, the flow is doubtful: a packet without this agent's token first probes the following ranks, as the first packets of a new member do. A doubtful flow is closed after 20 s without a packet, when its caller has given it up after three unanswered keep-alives.

Test changes: IdleFlow now passes its time with announce replies; without them its flow is doubtful, which is not what that table is about.

Conclusion: until it is closed, the second session still exists, but no packet of its caller is handled there unless no other agent holds the flow.

--- a/Source/Core/Placement/FlowPlacement.cpp
+++ b/Source/Core/Placement/FlowPlacement.cpp
@@ -73,6 +73,16 @@
   return Place::Gone;
 }
 
+enum class FlowState : std::uint8_t {
+  /// The caller may not have seen the accept.
+  Unconfirmed,
+  /// Unconfirmed, and this agent may have been suspect since: another one may
+  /// have accepted the repeated first packet.
+  Doubtful,
+  /// The caller has sent packets of the open flow here.
+  Confirmed
+};
+
 class AgentPlacement final : public FlowPlacement {
 public:
   AgentPlacement(PlacementOptions options, TimePoint now)
@@ -106,6 +116,7 @@
   struct FlowEntry {
     /// Milliseconds since Start, modulo 2^32. Ages are far below 2^31.
     std::uint32_t LastSeen = 0;
+    FlowState State = FlowState::Unconfirmed;
   };
   using FlowMap = absl::flat_hash_map<FlowKey, FlowEntry, FlowKeyHash>;
 
@@ -127,6 +138,11 @@
     return now - MemberSince < Options.FirstPacketWindow ||
            now - LastReply > Options.AnnounceGap;
   }
+  bool isDoubtful(const FlowEntry &entry, TimePoint now) const {
+    return entry.State == FlowState::Doubtful ||
+           (entry.State == FlowState::Unconfirmed &&
+            now - LastReply > Options.AnnounceGap);
+  }
   std::uint32_t stamp(TimePoint now) const {
     return static_cast<std::uint32_t>((now - Start).count());
   }
@@ -140,8 +156,11 @@
   }
 
   bool isForThisService(const ForwardedPacket &packet);
-  bool handleHeld(ForwardedPacket &packet, TimePoint now,
+  /// \p wereOthersAsked: no other agent holds the flow.
+  bool handleHeld(ForwardedPacket &packet, bool wereOthersAsked, TimePoint now,
                   PlacementOutput &output);
+  void probe(ForwardedPacket packet, PlacementOutput &output);
+  void beginMembership(TimePoint now);
   void handleFirst(ForwardedPacket packet, TimePoint now,
                    PlacementOutput &output);
   void handleProbe(ForwardedPacket packet, TimePoint now,
@@ -202,8 +221,8 @@
   output.Datagrams.push_back({packet.Packet.Caller, std::move(out)});
 }
 
-bool AgentPlacement::handleHeld(ForwardedPacket &packet, TimePoint now,
-                                PlacementOutput &output) {
+bool AgentPlacement::handleHeld(ForwardedPacket &packet, bool wereOthersAsked,
+                                TimePoint now, PlacementOutput &output) {
   const FlowKey key = keyOf(packet);
   const UpstreamToken &token = packet.Packet.Token;
   const bool isFirst = has(packet, PacketFlag::First);
@@ -213,7 +232,20 @@
   const auto it = Flows.find(key);
   if (it != Flows.end() &&
       (isFirst || !token.Upstream || token.Run == Options.Run)) {
-    it->second.LastSeen = stamp(now);
+    FlowEntry &entry = it->second;
+    const bool isLast =
+        packet.EndsRanking && packet.ChainIndex + 1U == packet.Chain.size();
+    const bool isNamedByToken = !isFirst && token.Upstream;
+    if (isDoubtful(entry, now) && !isNamedByToken && !wereOthersAsked &&
+        !isLast) {
+      probe(std::move(packet), output);
+      return true;
+    }
+    if (has(packet, PacketFlag::Established))
+      entry.State = FlowState::Confirmed;
+    else if (entry.State == FlowState::Doubtful)
+      entry.State = FlowState::Unconfirmed;
+    entry.LastSeen = stamp(now);
     if (!packet.Packet.Payload.empty())
       output.Delivered.push_back({key, std::move(packet.Packet.Payload)});
     if (has(packet, PacketFlag::Last)) {
@@ -240,7 +272,7 @@
     return;
   if (packet.Sender)
     learnLoad(packet.Sender, packet.SenderLoad, now);
-  if (handleHeld(packet, now, output))
+  if (handleHeld(packet, false, now, output))
     return;
   ++Counters.Unknown;
   if (packet.Kind == ForwardKind::Probe)
@@ -304,6 +336,10 @@
     decide(std::move(packet), now, output);
     return;
   }
+  probe(std::move(packet), output);
+}
+
+void AgentPlacement::probe(ForwardedPacket packet, PlacementOutput &output) {
   ++Counters.Probes;
   packet.Kind = ForwardKind::Probe;
   packet.Prober = self();
@@ -352,7 +388,7 @@
                                    PlacementOutput &output) {
   if (!isForThisService(packet) || packet.Prober.Run != Options.Run)
     return;
-  if (handleHeld(packet, now, output))
+  if (handleHeld(packet, true, now, output))
     return;
   packet.Kind = ForwardKind::Ranked;
   if (const auto it = findInChain(packet, packet.Prober)) {
@@ -424,7 +460,7 @@
   Flows.try_emplace(key, FlowEntry{stamp(now)});
   Memory.erase(key);
   ++Counters.Accepted;
-  handleHeld(packet, now, output);
+  handleHeld(packet, true, now, output);
 }
 
 void AgentPlacement::handOn(ForwardedPacket packet, std::size_t index,
@@ -522,6 +558,13 @@
   Memory.clear();
 }
 
+void AgentPlacement::beginMembership(TimePoint now) {
+  MemberSince = now;
+  for (auto &[key, entry] : Flows)
+    if (entry.State == FlowState::Unconfirmed)
+      entry.State = FlowState::Doubtful;
+}
+
 void AgentPlacement::process(LifecycleEvent event, TimePoint now,
                              PlacementOutput &output) {
   const Lifecycle former = State.state();
@@ -530,7 +573,7 @@
   if (present == former)
     return;
   if (present == Lifecycle::Active)
-    MemberSince = now;
+    beginMembership(now);
   if (present == Lifecycle::Out)
     closeAll(output);
 }
@@ -557,10 +600,10 @@
     Options.Service = reply.Service;
   if (reply.Upstream && reply.Upstream != Options.Upstream) {
     Options.Upstream = reply.Upstream;
-    MemberSince = now;
+    beginMembership(now);
   }
   if (now - LastReply > Options.AnnounceGap)
-    MemberSince = now;
+    beginMembership(now);
   LastReply = now;
   process(event, now, output);
 }
@@ -573,9 +616,11 @@
 
 void AgentPlacement::tick(TimePoint now, PlacementOutput &output) {
   const std::uint32_t present = stamp(now);
-  const auto timeout = static_cast<std::uint32_t>(Options.IdleTimeout.count());
   for (auto it = Flows.begin(); it != Flows.end();) {
-    if (present - it->second.LastSeen < timeout) {
+    const Duration timeout = it->second.State == FlowState::Doubtful
+                                 ? Options.DoubtTimeout
+                                 : Options.IdleTimeout;
+    if (present - it->second.LastSeen < timeout.count()) {
       ++it;
       continue;
     }
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -98,6 +98,10 @@
   /// A flow without any packet for this long is closed. Callers send a
   /// keep-alive every 5 s.
   Duration IdleTimeout{60000};
+  /// A flow whose caller may have been accepted by another agent is closed
+  /// after this long without a packet. A caller gives a flow up after three
+  /// unanswered keep-alives, 20 s after the last answer.
+  Duration DoubtTimeout{20000};
 };
 
 enum class Lifecycle : std::uint8_t {
--- a/Source/UnitTests/Placement/FlowPlacementTest.cpp
+++ b/Source/UnitTests/Placement/FlowPlacementTest.cpp
@@ -252,12 +252,11 @@
   const IdleCase &row = GetParam();
   Agent agent;
   agent.open(1);
-  const TimePoint opened = agent.Now;
   if (row.UsedAt > Duration(0)) {
-    agent.Now = opened + row.UsedAt;
+    agent.pass(row.UsedAt);
     agent.receive(Agent::packet(1, PacketFlag::Established));
   }
-  agent.Now = opened + row.Age;
+  agent.pass(row.Age - row.UsedAt);
   agent.Placement->tick(agent.Now, agent.Output);
   EXPECT_EQ(agent.Output.Closed.size(), row.IsClosed ? 1u : 0u);
   EXPECT_EQ(agent.Placement->flowCount(), row.IsClosed ? 0u : 1u);
@@ -372,5 +371,88 @@
   EXPECT_EQ(agent.Placement->counters().HopLimit, 0u);
 }
 
+struct DoubtCase {
+  const char *Name;
+  /// The caller has sent a packet of the open flow before the gap.
+  bool IsConfirmed;
+  /// Time without an announce reply.
+  Duration Gap;
+  std::uint8_t Flags;
+  bool HasToken;
+  bool IsProbed;
+};
+
+class DoubtfulFlow : public testing::TestWithParam<DoubtCase> {};
+
+// Guards against a second session: while this agent was suspect, another one
+// may have accepted a flow whose accept from here was lost. Guards also against
+// a flow that is lost because this agent was suspect.
+TEST_P(DoubtfulFlow, OthersAreAskedFirst) {
+  const DoubtCase &row = GetParam();
+  Agent agent;
+  agent.open(1);
+  agent.announce();
+  if (row.IsConfirmed)
+    agent.receive(Agent::packet(1, PacketFlag::Established));
+  agent.Now += row.Gap;
+  agent.announce();
+  agent.Output = {};
+  ForwardedPacket packet = Agent::packet(1, row.Flags);
+  packet.Packet.Payload = {std::byte{1}};
+  if (row.HasToken)
+    packet.Packet.Token = {{1}, {1}};
+  agent.receive(packet);
+  EXPECT_EQ(agent.Output.Delivered.size(), row.IsProbed ? 0u : 1u);
+  if (!row.IsProbed)
+    return;
+  ASSERT_EQ(agent.forwarded(), std::vector{member(2).Address});
+  const auto probe =
+      std::get<ForwardedPacket>(agent.Output.Datagrams.front().Message);
+  EXPECT_EQ(probe.Kind, ForwardKind::Probe);
+  EXPECT_EQ(agent.answers(), Answers{});
+
+  // Nobody else holds it.
+  agent.Output = {};
+  agent.Placement->onProbeMissed(probe, agent.Now, agent.Output);
+  EXPECT_EQ(agent.Output.Delivered.size(), 1u);
+  agent.Output = {};
+  agent.receive(packet);
+  EXPECT_EQ(agent.Output.Delivered.size(), 1u);
+  EXPECT_EQ(agent.Placement->flowCount(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, DoubtfulFlow,
+    testing::Values(DoubtCase{"First", false, 4 * Second, PacketFlag::First,
+                              false, true},
+                    DoubtCase{"Established", false, 4 * Second,
+                              PacketFlag::Established, false, true},
+                    DoubtCase{"Token", false, 4 * Second,
+                              PacketFlag::Established, true, false},
+                    DoubtCase{"ConfirmedBefore", true, 4 * Second,
+                              PacketFlag::Established, false, false},
+                    DoubtCase{"GapTooShort", false, Duration(2500),
+                              PacketFlag::First, false, false}),
+    [](const testing::TestParamInfo<DoubtCase> &it) {
+      return std::string(it.param.Name);
+    });
+
+// Guards against a doubtful flow that stays beside the one at another agent,
+// and against one that is closed while its caller still waits for an answer.
+TEST(FlowPlacementTest, DoubtfulFlowIsClosedEarly) {
+  Agent agent;
+  agent.open(1);
+  agent.announce();
+  agent.Now += 4 * Second;
+  agent.announce();
+  agent.pass(Duration(15999));
+  agent.Placement->tick(agent.Now, agent.Output);
+  EXPECT_EQ(agent.Placement->flowCount(), 1u);
+  agent.pass(Duration(1));
+  agent.Placement->tick(agent.Now, agent.Output);
+  EXPECT_EQ(agent.Placement->flowCount(), 0u);
+  EXPECT_EQ(agent.Output.Closed.size(), 1u);
+}
+
 } // namespace
 } // namespace pistachio
