Refuse requests of a closed flow before its caller is told

Cause: an agent whose data centre goes out now resets its flows. The daemon sent the resets before it closed the flows, and closing refuses the requests that were not begun. A caller takes no refusal after the reset of its flow, so these would have ended as outcome unknown although they did not run.

Change: AgentDaemon closes flows before it sends the datagrams of an output that delivers no payload. With a payload the order stays, because the accept goes first and the payload belongs to the flow that is closed.

No test covers the daemon's order, and it was not run.

Conclusion: requests that run when the data centre goes out end at the caller with the reset; holding the reset back for them is open.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -104,12 +104,21 @@
 }
 
 void AgentDaemon::carryOut(PlacementOutput output, TimePoint now) {
+  const auto closeFlows = [&] {
+    for (const FlowKey &it : output.Closed)
+      Requests->closeFlow({it.Caller, it.Flow}, now);
+  };
+  // Closing refuses requests that were not begun. A caller takes no refusal
+  // after the reset of its flow and would end them with an unknown outcome.
+  const bool closesFirst = output.Delivered.empty();
+  if (closesFirst)
+    closeFlows();
   for (const OutgoingDatagram &it : output.Datagrams)
     sendDatagram(it);
   for (const DeliveredPayload &it : output.Delivered)
     Requests->receive({it.Flow.Caller, it.Flow.Flow}, it.Payload, now);
-  for (const FlowKey &it : output.Closed)
-    Requests->closeFlow({it.Caller, it.Flow}, now);
+  if (!closesFirst)
+    closeFlows();
 }
 
 void AgentDaemon::sendDatagram(const OutgoingDatagram &datagram) {
