Measure packet decisions, rankings and flow tables

The goals of design.md 1.1 (a decision within 100 ns, no allocation, growth below 2x, at most 64 bytes per flow) had no benchmark.

Where the time goes inside a decision was not profiled.

--- /dev/null
+++ b/Source/Benchmarks/PacketBench.cpp
@@ -0,0 +1,227 @@
+#include "TargetSite.h"
+
+#include "Placement/Placement.h"
+#include "Routing/Routing.h"
+
+#include <benchmark/benchmark.h>
+
+#include <array>
+#include <cstdlib>
+#include <new>
+#include <random>
+
+namespace {
+
+/// Calls of operator new in this process. The benchmarks run in one thread.
+std::uint64_t Allocations = 0;
+
+void *allocate(std::size_t size) {
+  ++Allocations;
+  if (void *it = std::malloc(size == 0 ? 1 : size))
+    return it;
+  throw std::bad_alloc();
+}
+
+} // namespace
+
+void *operator new(std::size_t size) { return allocate(size); }
+void *operator new[](std::size_t size) { return allocate(size); }
+void operator delete(void *it) noexcept { std::free(it); }
+void operator delete[](void *it) noexcept { std::free(it); }
+void operator delete(void *it, std::size_t) noexcept { std::free(it); }
+void operator delete[](void *it, std::size_t) noexcept { std::free(it); }
+
+namespace pistachio {
+namespace {
+
+/// Enough heads that a large table does not stay in the processor's cache.
+constexpr std::size_t HeadCount = 1 << 16;
+constexpr std::uint64_t Seed = 1;
+
+enum class PacketKind : std::uint8_t { Established, Token, First };
+
+std::vector<PacketHead> makeHeads(const ServiceTable &table,
+                                  std::uint32_t services, PacketKind kind) {
+  std::mt19937_64 random(Seed);
+  std::vector<PacketHead> out;
+  out.reserve(HeadCount);
+  while (out.size() < HeadCount) {
+    const auto id = static_cast<std::uint32_t>(random() % services) + 1;
+    const Service &service = *table.find(ServiceId{id});
+    PacketHead it;
+    it.ServiceAddress = service.address();
+    it.Caller = {static_cast<std::uint32_t>(random()),
+                 static_cast<std::uint16_t>(random())};
+    it.Flow = {random()};
+    it.Flags =
+        kind == PacketKind::First ? PacketFlag::First : PacketFlag::Established;
+    if (kind == PacketKind::Token) {
+      const auto members = service.members();
+      const ServiceMember &holder = members[random() % members.size()];
+      it.Token = {holder.Id, holder.Run};
+    }
+    out.push_back(it);
+  }
+  return out;
+}
+
+/// One decision for random flows of random services; the argument is the
+/// number of service addresses.
+void packetDecision(benchmark::State &state, PacketKind kind) {
+  const auto services = static_cast<std::uint32_t>(state.range(0));
+  const SiteSize size{
+      services,
+      static_cast<std::uint32_t>(
+          services * std::uint64_t{TargetSize.Upstreams} / TargetSize.Services),
+      static_cast<std::uint32_t>(services *
+                                 std::uint64_t{TargetSize.Balancers} /
+                                 TargetSize.Services)};
+  TableFollower follower;
+  for (const TableUpdate &it : makeTable(size))
+    follower.apply(it).IgnoreError();
+  const ServiceTablePtr table = follower.table();
+  const std::vector<PacketHead> heads = makeHeads(*table, services, kind);
+  std::size_t next = 0;
+  std::uint64_t forwarded = 0;
+  const std::uint64_t before = Allocations;
+  for (auto it : state) {
+    const RouteDecision decision =
+        routePacket(*table, LeaseMode::Leased, heads[next]);
+    forwarded += decision.Action == RouteAction::Forward ? 1 : 0;
+    benchmark::DoNotOptimize(&decision);
+    benchmark::ClobberMemory();
+    next = (next + 1) % HeadCount;
+  }
+  const std::uint64_t allocations = Allocations - before;
+  if (forwarded != static_cast<std::uint64_t>(state.iterations()))
+    state.SkipWithError("a packet was not forwarded");
+  state.counters["allocations"] = static_cast<double>(allocations);
+  state.counters["upstreams"] = static_cast<double>(table->upstreamCount());
+  state.counters["table_bytes"] = static_cast<double>(table->memoryBytes());
+}
+
+void setSites(benchmark::internal::Benchmark *bench) {
+  for (const std::int64_t it : {10, 1000, 9000, 72000})
+    bench->Arg(it);
+}
+BENCHMARK_CAPTURE(packetDecision, established, PacketKind::Established)
+    ->Apply(setSites);
+BENCHMARK_CAPTURE(packetDecision, token, PacketKind::Token)->Apply(setSites);
+BENCHMARK_CAPTURE(packetDecision, first, PacketKind::First)->Apply(setSites);
+
+/// The first ranks of random buckets; the argument is the number of members.
+void ranking(benchmark::State &state) {
+  std::vector<ServiceMember> members;
+  for (std::int64_t n = 0; n < state.range(0); ++n) {
+    const auto id = static_cast<std::uint32_t>(n + 1);
+    members.push_back(
+        {UpstreamId{id}, Incarnation{id}, {0x0B000000 + id, 7000}});
+  }
+  const Service service(ServiceId{1}, "service-1", {0x0A000000, 443},
+                        std::move(members));
+  std::array<std::uint16_t, MaxChain> chain{};
+  std::uint64_t bucket = Seed;
+  const std::uint64_t before = Allocations;
+  for (auto it : state) {
+    bucket = mix64(bucket + 1);
+    benchmark::DoNotOptimize(service.rank(
+        static_cast<std::uint16_t>(bucket % BucketCount), 0, chain));
+    benchmark::ClobberMemory();
+  }
+  state.counters["allocations"] = static_cast<double>(Allocations - before);
+  state.counters["service_bytes"] = static_cast<double>(service.memoryBytes());
+}
+BENCHMARK(ranking)->Arg(7)->Arg(32)->Arg(33)->Arg(500);
+
+constexpr TimePoint Start{Duration(1000000)};
+/// After this long with regular announcements an agent no longer probes.
+constexpr Duration Settled{45000};
+
+ForwardedPacket makePacket(std::uint64_t flow, std::uint8_t flags) {
+  ForwardedPacket it;
+  it.Packet.ServiceAddress = {0x0A000000, 443};
+  it.Packet.Caller = {static_cast<std::uint32_t>(0x0D000000 + flow), 5000};
+  it.Packet.Flow = {mix64(flow)};
+  it.Packet.Flags = flags;
+  it.Service = ServiceId{1};
+  it.EndsRanking = true;
+  it.TableRevision = Revision{1};
+  it.Chain = {{UpstreamId{1}, Incarnation{1}, {0x0B000000, 7000}}};
+  return it;
+}
+
+/// An agent that has been active for longer than new members probe.
+std::unique_ptr<FlowPlacement> makeAgent(std::uint32_t maxFlows) {
+  PlacementOptions options;
+  options.Run = Incarnation{1};
+  options.Address = {0x0B000000, 7000};
+  options.MaxFlows = maxFlows;
+  auto agent = makeFlowPlacement(options, Start);
+  PlacementOutput output;
+  for (Duration it{0}; it <= Settled; it += Duration(1000))
+    agent->onAnnounceReply(
+        {AnnounceResult::Accepted, UpstreamId{1}, ServiceId{1}, ""}, Start + it,
+        output);
+  return agent;
+}
+
+/// Opens that many flows in an empty agent; time per flow, and bytes per flow
+/// at the end.
+void newFlows(benchmark::State &state) {
+  const auto flows = static_cast<std::uint64_t>(state.range(0));
+  double bytes = 0;
+  for (auto it : state) {
+    state.PauseTiming();
+    auto agent = makeAgent(static_cast<std::uint32_t>(flows) * 2);
+    std::vector<ForwardedPacket> packets;
+    for (std::uint64_t n = 0; n < flows; ++n)
+      packets.push_back(makePacket(n, PacketFlag::First));
+    state.ResumeTiming();
+    for (ForwardedPacket &packet : packets) {
+      PlacementOutput output;
+      agent->onForwarded(std::move(packet), Start + Settled, output);
+      benchmark::DoNotOptimize(output.Delivered.size());
+    }
+    state.PauseTiming();
+    if (agent->flowCount() != flows)
+      state.SkipWithError("a flow was not accepted");
+    bytes = static_cast<double>(agent->flowTableBytes());
+    agent.reset();
+    packets.clear();
+    state.ResumeTiming();
+  }
+  state.counters["bytes_per_flow"] = bytes / static_cast<double>(flows);
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+// At 57,345 flows the table has just doubled, which costs the most bytes for
+// each flow.
+BENCHMARK(newFlows)->Arg(10000)->Arg(57345)->Arg(100000)->Unit(
+    benchmark::kMillisecond);
+
+/// One packet of an established flow at its agent. The time includes making the
+/// packet and its payload of one byte.
+void establishedFlow(benchmark::State &state) {
+  const auto flows = static_cast<std::uint64_t>(state.range(0));
+  auto agent = makeAgent(static_cast<std::uint32_t>(flows) * 2);
+  for (std::uint64_t n = 0; n < flows; ++n) {
+    PlacementOutput output;
+    agent->onForwarded(makePacket(n, PacketFlag::First), Start + Settled,
+                       output);
+  }
+  std::uint64_t next = Seed;
+  std::uint64_t delivered = 0;
+  for (auto it : state) {
+    next = mix64(next + 1);
+    PlacementOutput output;
+    ForwardedPacket packet = makePacket(next % flows, PacketFlag::Established);
+    packet.Packet.Payload = {std::byte{1}};
+    agent->onForwarded(std::move(packet), Start + Settled, output);
+    delivered += output.Delivered.size();
+  }
+  if (delivered != static_cast<std::uint64_t>(state.iterations()))
+    state.SkipWithError("a packet was not delivered");
+}
+BENCHMARK(establishedFlow)->Arg(10000)->Arg(100000);
+
+} // namespace
+} // namespace pistachio
