Measure broken flows, balance and hops in simulated time

Goals of design.md 1.1 stand beside the figures.

The site gets keep-alive interval, closing flows, death of a balancer and counts for it.

--- /dev/null
+++ b/Source/Benchmarks/Measure.cpp
@@ -0,0 +1,494 @@
+#include "Placement/Site.h"
+
+#include <boost/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+
+using namespace pistachio;
+
+namespace {
+
+constexpr Duration Second{1000};
+/// Time after which no member counts as new.
+constexpr Duration Settled{45 * Second};
+/// Callers send a keep-alive every 5 s and give a flow up after three.
+constexpr Duration KeepAlive{5 * Second};
+constexpr Duration Silence{16 * Second};
+/// Share of the open flows that end, and of new ones that open, each second.
+constexpr unsigned ChurnPermille = 10;
+constexpr std::uint32_t ServiceCount = 2;
+
+/// Threads; the machine is shared with others.
+constexpr int Workers = 3;
+
+/// Goals of docs/design.md, 1.1.
+constexpr double SteadyImbalance = 1.10;
+constexpr double ReturnImbalance = 1.25;
+constexpr double ServedDuringReturn = 0.999;
+constexpr double LastPacketMs = 3000;
+constexpr double SteadySecondHops = 0.01;
+
+struct Deployment {
+  const char *Name;
+  std::uint16_t Upstreams[ServiceCount];
+  Network Net;
+};
+
+const Deployment Deployments[] = {
+    {"Valukoda", {7, 3}, {"Valukoda", 0, 0, 1, 3}},
+    {"Sala Sonora", {7, 3}, {"Sala Sonora", 0, 0, 1, 1}},
+};
+
+/// A site under constant churn. Flows that were reset are opened again.
+class Workload {
+public:
+  Workload(const Deployment &deployment, SiteOptions options, int flows,
+           std::uint64_t seed, std::span<const Duration> lags)
+      : It(options, seed) {
+    for (const Duration lag : lags)
+      It.addBalancer(lag);
+    for (std::uint32_t service = 1; service <= ServiceCount; ++service) {
+      const std::uint16_t count = deployment.Upstreams[service - 1];
+      for (std::uint16_t n = 0; n < count; ++n)
+        Agents[service - 1].push_back(
+            It.join(service, static_cast<std::uint16_t>(1 + (n % 3))));
+      Flows[service - 1] = flows * count;
+    }
+    It.run(Settled);
+    for (std::uint32_t service = 1; service <= ServiceCount; ++service)
+      It.openFlows(service, Flows[service - 1]);
+    It.run(5 * Second);
+  }
+
+  Site &site() { return It; }
+  /// First upstream of the service.
+  std::size_t agent(std::uint32_t service) const {
+    return Agents[service - 1].front();
+  }
+
+  void run(int seconds) {
+    for (int n = 0; n < seconds; ++n) {
+      for (std::uint32_t service = 1; service <= ServiceCount; ++service) {
+        const int reset = It.flowsOf(service, Silence).Reset;
+        const int again = reset - SeenResets[service - 1];
+        SeenResets[service - 1] = reset;
+        It.closeFlows(service, ChurnPermille);
+        It.openFlows(service, again + (Flows[service - 1] *
+                                       static_cast<int>(ChurnPermille) / 1000));
+      }
+      It.run(Second);
+    }
+  }
+
+private:
+  Site It;
+  std::vector<std::size_t> Agents[ServiceCount];
+  int Flows[ServiceCount] = {};
+  int SeenResets[ServiceCount] = {};
+};
+
+void drainFirst(Workload &it, bool isDraining) {
+  for (std::uint32_t service = 1; service <= ServiceCount; ++service)
+    it.site().drain(it.agent(service), isDraining);
+}
+
+void joinEach(Workload &it) {
+  for (std::uint32_t service = 1; service <= ServiceCount; ++service)
+    it.site().join(service, 1);
+}
+
+struct Scenario {
+  const char *Name;
+  /// Runs before the measured part.
+  void (*Prepare)(Workload &);
+  void (*Run)(Workload &);
+  std::array<Duration, 3> Lags;
+  /// Which goals of 1.1 apply, besides broken flows.
+  double MaxImbalance;
+  bool HasRemoval;
+  bool IsSteady;
+};
+
+constexpr std::array<Duration, 3> UsualLags{Duration(0), Duration(100),
+                                            Duration(200)};
+constexpr std::array<Duration, 3> WideLags{Duration(0), Duration(700),
+                                           Duration(2500)};
+constexpr int Minute = 60;
+
+void nothing(Workload &) {}
+
+const Scenario Scenarios[] = {
+    {"calm", nothing, [](Workload &it) { it.run(Minute); }, UsualLags,
+     SteadyImbalance, false, true},
+    {"drain", nothing,
+     [](Workload &it) {
+       drainFirst(it, true);
+       it.run(Minute);
+     },
+     UsualLags, SteadyImbalance, false, false},
+    {"undrain",
+     [](Workload &it) {
+       drainFirst(it, true);
+       it.run(Minute);
+     },
+     [](Workload &it) {
+       drainFirst(it, false);
+       it.run(Minute);
+     },
+     UsualLags, ReturnImbalance, false, false},
+    {"join", nothing,
+     [](Workload &it) {
+       joinEach(it);
+       it.run(Minute);
+     },
+     UsualLags, SteadyImbalance, false, false},
+    {"balancer loss", nothing,
+     [](Workload &it) {
+       it.site().killBalancer(1);
+       it.run(Minute);
+     },
+     UsualLags, SteadyImbalance, false, false},
+    {"versions apart", nothing,
+     [](Workload &it) {
+       joinEach(it);
+       it.run(1);
+       drainFirst(it, true);
+       it.run(1);
+       drainFirst(it, false);
+       it.run(1);
+       joinEach(it);
+       it.run(Minute);
+     },
+     WideLags, SteadyImbalance, false, false},
+    // One balancer loses control at the moment of the removal.
+    {"data centre out", nothing,
+     [](Workload &it) {
+       it.site().cutOff(2, true, false);
+       it.site().setOut(1, true);
+       it.run(10);
+       it.site().cutOff(2, false, true);
+       it.run(20);
+       it.site().setOut(1, false);
+       it.run(Minute);
+     },
+     UsualLags, ReturnImbalance, true, false},
+};
+
+struct Mode {
+  const char *Name;
+  bool HasRanking;
+  bool UsesToken;
+};
+
+const Mode Modes[] = {{"token", true, true},
+                      {"no token", true, false},
+                      {"baseline", false, false}};
+
+struct Result {
+  std::string Site;
+  std::string Scenario;
+  std::string Mode;
+  int Broken = 0;
+  int HadToBreak = 0;
+  int BrokenInVain = 0;
+  double Imbalance = 0;
+  double Opened = 0;
+  /// Negative if no data centre was removed.
+  double LastPacket = -1;
+  double HopsPerPacket = 0;
+  double SecondHops = 0;
+  std::string Goals;
+};
+
+void judge(const Scenario &scenario, Result &it) {
+  std::string missed;
+  const auto check = [&missed](bool isMet, const char *name) {
+    if (!isMet)
+      missed += std::string(missed.empty() ? "" : ",") + name;
+  };
+  check(it.BrokenInVain == 0, "broken");
+  check(it.Imbalance <= scenario.MaxImbalance, "balance");
+  check(!scenario.HasRemoval || it.Opened >= ServedDuringReturn, "opened");
+  check(!scenario.HasRemoval || it.LastPacket <= LastPacketMs, "last");
+  check(!scenario.IsSteady || it.SecondHops < SteadySecondHops, "second");
+  it.Goals = missed.empty() ? "met" : "missed:" + missed;
+}
+
+Result measure(const Deployment &deployment, const Scenario &scenario,
+               const Mode &mode, int flows, std::uint64_t seed) {
+  SiteOptions options;
+  options.Net = deployment.Net;
+  options.UsesToken = mode.UsesToken;
+  options.HasRanking = mode.HasRanking;
+  options.KeepAlive = KeepAlive;
+  Workload work(deployment, options, flows, seed, scenario.Lags);
+  scenario.Prepare(work);
+  Site &site = work.site();
+  // Flows that are still opening must not count as opened by the scenario.
+  site.run(3 * Second);
+  site.clearTraffic();
+  SiteFlows before;
+  SiteFlows after;
+  const auto add = [&site](SiteFlows &sum) {
+    for (std::uint32_t service = 1; service <= ServiceCount; ++service) {
+      const SiteFlows it = site.flowsOf(service, Silence);
+      sum.Asked += it.Asked;
+      sum.Opened += it.Opened;
+      sum.Broken += it.Broken;
+      sum.HadToBreak += it.HadToBreak;
+      sum.BrokenInVain += it.BrokenInVain;
+    }
+  };
+  add(before);
+  scenario.Run(work);
+  Result out;
+  out.Site = deployment.Name;
+  out.Scenario = scenario.Name;
+  out.Mode = mode.Name;
+  for (std::uint32_t service = 1; service <= ServiceCount; ++service)
+    out.Imbalance = std::max(out.Imbalance, site.busiestToMean(service));
+  const SiteTraffic traffic = site.traffic();
+  // First packets on their way get their answer; a silent flow shows.
+  site.run(Silence + KeepAlive);
+  add(after);
+  out.Broken = after.Broken - before.Broken;
+  out.HadToBreak = after.HadToBreak - before.HadToBreak;
+  out.BrokenInVain = after.BrokenInVain - before.BrokenInVain;
+  out.Opened = static_cast<double>(after.Opened - before.Opened) /
+               (after.Asked - before.Asked);
+  if (scenario.HasRemoval)
+    out.LastPacket = static_cast<double>(traffic.LastToRemoved.count());
+  const auto packets = static_cast<double>(traffic.Packets);
+  out.HopsPerPacket = static_cast<double>(traffic.AgentArrivals) / packets;
+  out.SecondHops = static_cast<double>(traffic.SecondHops) / packets;
+  judge(scenario, out);
+  return out;
+}
+
+/// Every scenario in every mode. Each run has its own site and random numbers,
+/// so the figures do not depend on the number of workers.
+std::vector<Result> measureAll(int flows, std::uint64_t seed) {
+  constexpr std::size_t Runs =
+      std::size(Deployments) * std::size(Scenarios) * std::size(Modes);
+  std::vector<Result> out(Runs);
+  std::atomic<std::size_t> next = 0;
+  const auto work = [&] {
+    for (std::size_t n = next++; n < Runs; n = next++) {
+      const std::size_t pair = n / std::size(Modes);
+      out[n] = measure(Deployments[pair / std::size(Scenarios)],
+                       Scenarios[pair % std::size(Scenarios)],
+                       Modes[n % std::size(Modes)], flows, seed);
+    }
+  };
+  std::vector<std::thread> workers;
+  for (int n = 0; n < Workers; ++n)
+    workers.emplace_back(work);
+  for (std::thread &it : workers)
+    it.join();
+  return out;
+}
+
+std::string formatted(double value, int digits) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(digits) << value;
+  return out.str();
+}
+
+using Row = std::vector<std::string>;
+
+const Row Heading{"site",    "scenario", "mode",     "broken",
+                  "had to",  "in vain",  "balance",  "opened %",
+                  "last ms", "hops",     "second %", "goals"};
+
+Row rowOf(const Result &it) {
+  return {it.Site,
+          it.Scenario,
+          it.Mode,
+          std::to_string(it.Broken),
+          std::to_string(it.HadToBreak),
+          std::to_string(it.BrokenInVain),
+          formatted(it.Imbalance, 3),
+          formatted(it.Opened * 100, 2),
+          it.LastPacket < 0 ? "-" : formatted(it.LastPacket, 0),
+          formatted(it.HopsPerPacket, 4),
+          formatted(it.SecondHops * 100, 3),
+          it.Goals};
+}
+
+void printTable(const std::vector<Row> &rows) {
+  std::vector<std::size_t> widths(rows.front().size());
+  for (const Row &it : rows) {
+    for (std::size_t n = 0; n < it.size(); ++n)
+      widths[n] = std::max(widths[n], it[n].size());
+  }
+  for (const Row &it : rows) {
+    for (std::size_t n = 0; n < it.size(); ++n)
+      std::cout << std::left << std::setw(static_cast<int>(widths[n]) + 2)
+                << it[n];
+    std::cout << "\n";
+  }
+}
+
+boost::json::object jsonOf(const Result &it) {
+  return {{"site", it.Site},
+          {"scenario", it.Scenario},
+          {"mode", it.Mode},
+          {"broken", it.Broken},
+          {"hadToBreak", it.HadToBreak},
+          {"brokenInVain", it.BrokenInVain},
+          {"busiestToMean", it.Imbalance},
+          {"opened", it.Opened},
+          {"lastPacketMs", it.LastPacket},
+          {"hopsPerPacket", it.HopsPerPacket},
+          {"secondHops", it.SecondHops},
+          {"goals", it.Goals}};
+}
+
+Result resultOf(const boost::json::object &it) {
+  const auto text = [&it](const char *name) {
+    return std::string(it.at(name).as_string());
+  };
+  const auto number = [&it](const char *name) {
+    return it.at(name).to_number<double>();
+  };
+  return {text("site"),
+          text("scenario"),
+          text("mode"),
+          static_cast<int>(number("broken")),
+          static_cast<int>(number("hadToBreak")),
+          static_cast<int>(number("brokenInVain")),
+          number("busiestToMean"),
+          number("opened"),
+          number("lastPacketMs"),
+          number("hopsPerPacket"),
+          number("secondHops"),
+          text("goals")};
+}
+
+struct Run {
+  std::string Commit;
+  std::uint64_t Seed = 0;
+  int FlowsPerUpstream = 0;
+  std::vector<Result> Results;
+};
+
+bool save(const Run &run, const std::string &file) {
+  boost::json::array results;
+  for (const Result &it : run.Results)
+    results.push_back(jsonOf(it));
+  const boost::json::object all{{"commit", run.Commit},
+                                {"seed", run.Seed},
+                                {"flowsPerUpstream", run.FlowsPerUpstream},
+                                {"results", results}};
+  std::ofstream out(file);
+  out << boost::json::serialize(all) << "\n";
+  return out.good();
+}
+
+/// Throws std::exception if the file is not one that save() wrote.
+Run load(const std::string &file) {
+  std::ifstream in(file);
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  const boost::json::value parsed = boost::json::parse(text);
+  const boost::json::object &all = parsed.as_object();
+  Run out{std::string(all.at("commit").as_string()),
+          all.at("seed").to_number<std::uint64_t>(),
+          all.at("flowsPerUpstream").to_number<int>(),
+          {}};
+  for (const boost::json::value &it : all.at("results").as_array())
+    out.Results.push_back(resultOf(it.as_object()));
+  return out;
+}
+
+void printHead(const char *title, const Run &it) {
+  std::cout << title << ": commit " << it.Commit << ", seed " << it.Seed << ", "
+            << it.FlowsPerUpstream << " flows per upstream\n";
+}
+
+/// Each value as OLD > NEW, or once if both are the same.
+void printComparison(const Run &old, const Run &now) {
+  std::vector<Row> rows{Heading};
+  for (const Result &it : now.Results) {
+    const auto former =
+        std::ranges::find_if(old.Results, [&it](const Result &n) {
+          return n.Site == it.Site && n.Scenario == it.Scenario &&
+                 n.Mode == it.Mode;
+        });
+    Row row = rowOf(it);
+    const Row before =
+        former == old.Results.end() ? Row(row.size(), "none") : rowOf(*former);
+    for (std::size_t n = 3; n < row.size(); ++n) {
+      if (before[n] != row[n])
+        row[n].insert(0, before[n] + " > ");
+    }
+    rows.push_back(std::move(row));
+  }
+  printHead("old", old);
+  printHead("new", now);
+  printTable(rows);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  TCLAP::CmdLine line("Broken flows, balance and hops of the decision "
+                      "libraries under planned and unplanned changes.",
+                      ' ', "0.1.0");
+  TCLAP::ValueArg<std::string> json("", "json", "writes the figures to FILE",
+                                    false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> compare(
+      "", "compare", "prints the figures of FILE beside those of this run",
+      false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> commit("", "commit", "commit that is measured",
+                                      false, "unknown", "ID", line);
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the random numbers",
+                                      false, 1, "N", line);
+  TCLAP::ValueArg<int> flows("", "flows", "flows per upstream", false, 2000,
+                             "N", line);
+  line.parse(argc, argv);
+  try {
+    Run old;
+    // Read first, so that a wrong file is reported before the long part.
+    if (compare.isSet())
+      old = load(compare.getValue());
+    Run now{commit.getValue(), seed.getValue(), flows.getValue(), {}};
+    const auto start = std::chrono::steady_clock::now();
+    now.Results = measureAll(flows.getValue(), seed.getValue());
+    const std::chrono::duration<double> took =
+        std::chrono::steady_clock::now() - start;
+    if (compare.isSet()) {
+      printComparison(old, now);
+    } else {
+      std::vector<Row> rows{Heading};
+      for (const Result &it : now.Results)
+        rows.push_back(rowOf(it));
+      printHead("run", now);
+      printTable(rows);
+    }
+    std::cout << "goals: broken in vain 0; balance at most " << SteadyImbalance
+              << ", at most " << ReturnImbalance
+              << " a minute after a return; with a removal opened at least "
+              << ServedDuringReturn * 100 << " % and last packet within "
+              << LastPacketMs << " ms; calm: second hops below "
+              << SteadySecondHops * 100 << " %\n"
+              << "took " << formatted(took.count(), 1) << " s\n";
+    if (json.isSet() && !save(now, json.getValue())) {
+      std::cerr << "cannot write " << json.getValue() << "\n";
+      return 3;
+    }
+  } catch (const std::exception &it) {
+    std::cerr << it.what() << "\n";
+    return 2;
+  }
+  return 0;
+}
--- a/Source/UnitTests/Placement/Site.cpp
+++ b/Source/UnitTests/Placement/Site.cpp
@@ -11,6 +11,7 @@
 /// Lease of 3 s, the steps in which this site acts, and one delay.
 constexpr Duration RemovalBound{3200};
 constexpr Duration FirstPacketLifetime{30000};
+constexpr Duration FabricNoticesAfter{1000};
 
 Endpoint serviceAddress(std::uint32_t service) { return {service, 443}; }
 
@@ -83,12 +84,25 @@
   publish(std::move(update));
 }
 
+void Site::killBalancer(std::size_t balancer) {
+  cutOff(balancer, true, false);
+  Balancers[balancer].DiedAt = Now;
+}
+
+bool Site::isInFabric(const Balancer &it) const {
+  return !it.DiedAt || Now - *it.DiedAt < FabricNoticesAfter;
+}
+
 void Site::setOut(std::uint16_t dataCentre, bool isOut) {
   OutSince[dataCentre] = isOut ? std::optional(Now) : std::nullopt;
   TableUpdate update;
   update.DataCentres.push_back(
       {{dataCentre}, std::to_string(dataCentre), isOut});
   publish(std::move(update));
+  for (auto &[key, it] : Flows) {
+    if (it.State == FlowState::Open && isHolderOut(it))
+      it.HadToBreak = true;
+  }
 }
 
 void Site::cutOff(std::size_t balancer, bool isCut, bool hasPeers) {
@@ -111,6 +125,14 @@
   }
 }
 
+void Site::closeFlows(std::uint32_t service, unsigned permille) {
+  for (auto &[key, it] : Flows) {
+    if (it.Service == service && it.State == FlowState::Open &&
+        Random() % 1000 < permille)
+      it.State = FlowState::Closing;
+  }
+}
+
 void Site::send(const Endpoint &to, DataMessage message) {
   const Network &net = Options.Net;
   const auto isChosen = [this](unsigned permille) {
@@ -196,15 +218,18 @@
   for (Balancer &balancer : Balancers) {
     if (balancer.Address != it.To)
       continue;
+    if (balancer.DiedAt)
+      return;
     const auto index = static_cast<std::size_t>(&balancer - Balancers.data());
     const ServiceTablePtr table = balancer.Follower->table();
     if (const auto *packet = std::get_if<CallerPacket>(&it.Message)) {
       const PacketHead head{packet->ServiceAddress, packet->Caller,
                             packet->Flow, packet->Flags, packet->Token};
-      carry(balancer,
-            Options.HasRanking ? routePacket(*table, mode(index), head)
-                               : byModulo(*table, head),
-            *packet);
+      const RouteDecision decision =
+          Options.HasRanking ? routePacket(*table, mode(index), head)
+                             : byModulo(*table, head);
+      Traffic.Packets += decision.Action == RouteAction::Forward ? 1 : 0;
+      carry(balancer, decision, *packet);
     } else if (const auto *back = std::get_if<ChainExhausted>(&it.Message)) {
       carry(balancer, continueRoute(*table, mode(index), back->Forwarded),
             back->Forwarded.Packet);
@@ -221,6 +246,10 @@
     PlacementOutput output;
     if (const auto *packet = std::get_if<ForwardedPacket>(&it.Message)) {
       Hops += packet->HopCount;
+      ++Traffic.AgentArrivals;
+      Traffic.SecondHops += packet->HopCount == 1 ? 1 : 0;
+      if (out)
+        Traffic.LastToRemoved = std::max(Traffic.LastToRemoved, Now - *out);
       agent.Placement->onForwarded(*packet, Now, output);
     } else if (const auto *missed = std::get_if<ProbeMissed>(&it.Message)) {
       agent.Placement->onProbeMissed(missed->Forwarded, Now, output);
@@ -242,6 +271,7 @@
       ++Opened;
       state.State = FlowState::Open;
       state.Holder = answer->Token;
+      state.HadToBreak = isHolderOut(state);
     }
     state.AnsweredAt = Now;
   } else if (answer->Kind == AnswerKind::Refused && isOpening) {
@@ -259,6 +289,12 @@
   return Agents[holder].IsAlive && flow.Sessions.contains(holder);
 }
 
+bool Site::isHolderOut(const Flow &flow) const {
+  const auto out =
+      OutSince.find(Agents[flow.Holder.Run.Value - 1].Record.DataCentre.Value);
+  return out != OutSince.end() && out->second;
+}
+
 void Site::stepControl() {
   for (Agent &it : Agents) {
     if (!it.Record.Id || IsControlDown)
@@ -313,11 +349,13 @@
 
 void Site::stepCallers() {
   for (auto &[key, it] : Flows) {
-    // Each caller sends once a second.
-    if ((Now - it.OpenedAt) % Duration(1000) >= Step || Now < it.OpenedAt ||
-        it.State == FlowState::Reset || it.State == FlowState::Refused)
+    const bool isClosing = it.State == FlowState::Closing;
+    const bool isOpen = it.State == FlowState::Open || isClosing;
+    const Duration interval = isOpen ? Options.KeepAlive : Duration(1000);
+    if ((Now - it.OpenedAt) % interval >= Step || Now < it.OpenedAt ||
+        it.State == FlowState::Reset || it.State == FlowState::Refused ||
+        it.State == FlowState::Closed)
       continue;
-    const bool isOpen = it.State == FlowState::Open;
     if (!isOpen && Now - it.OpenedAt > FirstPacketLifetime)
       continue;
     CallerPacket packet;
@@ -325,6 +363,10 @@
     packet.Caller = key.Caller;
     packet.Flow = key.Flow;
     packet.Flags = isOpen ? PacketFlag::Established : PacketFlag::First;
+    if (isClosing) {
+      packet.Flags |= PacketFlag::Last;
+      it.State = FlowState::Closed;
+    }
     if (isOpen && Options.UsesToken)
       packet.Token = it.Holder;
     packet.Payload = {static_cast<std::byte>(it.Service)};
@@ -333,6 +375,8 @@
     std::size_t to = Random() % Balancers.size();
     for (int n = 0; n < 2 && mode(to) == LeaseMode::Isolated; ++n)
       to = Random() % Balancers.size();
+    while (!isInFabric(Balancers[to]))
+      to = (to + 1) % Balancers.size();
     send(Balancers[to].Address, std::move(packet));
   }
 }
@@ -351,6 +395,47 @@
   }
 }
 
+SiteFlows Site::flowsOf(std::uint32_t service, Duration silence) const {
+  SiteFlows out;
+  for (const auto &[key, it] : Flows) {
+    if (it.Service != service || it.OpenedAt > Now)
+      continue;
+    const bool isReset = it.State == FlowState::Reset;
+    const bool isSilent =
+        it.State == FlowState::Open && Now - it.AnsweredAt > silence;
+    const bool isBroken = isReset || isSilent;
+    ++out.Asked;
+    out.Opened +=
+        it.State != FlowState::Opening && it.State != FlowState::Refused ? 1
+                                                                         : 0;
+    out.Reset += isReset ? 1 : 0;
+    out.Broken += isBroken ? 1 : 0;
+    out.HadToBreak += it.HadToBreak ? 1 : 0;
+    out.BrokenInVain += isBroken && !it.HadToBreak ? 1 : 0;
+  }
+  return out;
+}
+
+double Site::busiestToMean(std::uint32_t service) const {
+  std::size_t busiest = 0;
+  std::size_t sum = 0;
+  std::size_t count = 0;
+  for (const Agent &it : Agents) {
+    const auto out = OutSince.find(it.Record.DataCentre.Value);
+    if (it.Record.Service.Value != service || !it.IsAlive || !it.Record.Id ||
+        it.Record.State != UpstreamState::Active ||
+        (out != OutSince.end() && out->second))
+      continue;
+    const std::size_t flows = it.Placement->flowCount();
+    busiest = std::max(busiest, flows);
+    sum += flows;
+    ++count;
+  }
+  return sum == 0 ? 0
+                  : static_cast<double>(busiest) * static_cast<double>(count) /
+                        static_cast<double>(sum);
+}
+
 Breaches Site::breaches(Duration silence) const {
   Breaches out = Seen;
   for (const auto &[key, it] : Flows) {
--- a/Source/UnitTests/Placement/Site.h
+++ b/Source/UnitTests/Placement/Site.h
@@ -29,6 +29,37 @@
   bool HasRanking = true;
   bool HasProbes = true;
   bool HasLease = true;
+  /// Time between two packets of an open flow. A caller without an answer to
+  /// its first packet repeats it once a second.
+  Duration KeepAlive{1000};
+};
+
+/// Counts since the last clearTraffic().
+struct SiteTraffic {
+  /// Caller packets that a balancer forwarded.
+  std::uint64_t Packets = 0;
+  /// Forwarded packets that reached an agent.
+  std::uint64_t AgentArrivals = 0;
+  /// Packets that reached a second agent.
+  std::uint64_t SecondHops = 0;
+  /// Longest time from the removal of a data centre to the arrival of a packet
+  /// at one of its agents.
+  Duration LastToRemoved{0};
+};
+
+/// Flows of one service by what became of them.
+struct SiteFlows {
+  /// Flows that callers have tried to open.
+  int Asked = 0;
+  /// Flows that an agent has accepted.
+  int Opened = 0;
+  int Reset = 0;
+  /// Reset or without an answer.
+  int Broken = 0;
+  /// Flows of agents whose data centre was taken out while they were open.
+  int HadToBreak = 0;
+  /// Broken flows that did not have to break.
+  int BrokenInVain = 0;
 };
 
 /// Counts of what must never happen, kept outside the code under test.
@@ -57,11 +88,15 @@
   std::size_t join(std::uint32_t service, std::uint16_t dataCentre,
                    std::optional<Endpoint> address = {});
   void openFlows(std::uint32_t service, int count);
+  /// Ends each open flow of the service with that probability.
+  void closeFlows(std::uint32_t service, unsigned permille);
   void run(Duration time);
 
   void drain(std::size_t agent, bool isDraining);
   /// Ends the process; control notices after 3 s and removes it after 15 s.
   void kill(std::size_t agent) { Agents[agent].IsAlive = false; }
+  /// The fabric turns away from a dead balancer after one second.
+  void killBalancer(std::size_t balancer);
   void leave(std::size_t agent);
   void setOut(std::uint16_t dataCentre, bool isOut);
   /// Cuts a balancer off from control, and from its peers unless \p hasPeers.
@@ -85,6 +120,13 @@
   int opened() const { return Opened; }
   int resets() const { return Resets; }
   std::uint64_t hops() const { return Hops; }
+  const SiteTraffic &traffic() const { return Traffic; }
+  void clearTraffic() { Traffic = {}; }
+  /// \p silence as for breaches().
+  SiteFlows flowsOf(std::uint32_t service, Duration silence) const;
+  /// Flows at the busiest upstream of the service to the mean, over upstreams
+  /// that accept new flows and whose data centre is not out.
+  double busiestToMean(std::uint32_t service) const;
 
   /// A flow is silent if its caller had no answer for \p silence although the
   /// agent runs, or had no Reset although the agent does not.
@@ -106,14 +148,23 @@
     Duration Lag{0};
     bool IsCut = false;
     bool HasPeers = true;
+    std::optional<TimePoint> DiedAt;
+  };
+  enum class FlowState : std::uint8_t {
+    Opening,
+    Open,
+    Closing,
+    Closed,
+    Reset,
+    Refused
   };
-  enum class FlowState : std::uint8_t { Opening, Open, Reset, Refused };
   struct Flow {
     std::uint32_t Service = 0;
     FlowState State = FlowState::Opening;
     UpstreamToken Holder;
     TimePoint OpenedAt{};
     TimePoint AnsweredAt{};
+    bool HadToBreak = false;
     std::set<std::size_t> Sessions;
   };
   struct Datagram {
@@ -136,6 +187,9 @@
   RouteDecision byModulo(const ServiceTable &table,
                          const PacketHead &head) const;
   bool isHolderPresent(const Flow &flow) const;
+  bool isHolderOut(const Flow &flow) const;
+  /// Whether the fabric still sends to this balancer.
+  bool isInFabric(const Balancer &it) const;
 
   SiteOptions Options;
   std::mt19937_64 Random;
@@ -153,6 +207,7 @@
   int Opened = 0;
   int Resets = 0;
   Breaches Seen;
+  SiteTraffic Traffic;
 };
 
 } // namespace pistachio
