--- a/Source/Benchmarks/Measure.cpp
+++ b/Source/Benchmarks/Measure.cpp
@@ -291,6 +291,7 @@
     }
   };
   std::vector<std::thread> workers;
+  workers.reserve(Workers);
   for (int n = 0; n < Workers; ++n)
     workers.emplace_back(work);
   for (std::thread &it : workers)
