--- a/Source/Benchmarks/Measure.cpp
+++ b/Source/Benchmarks/Measure.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <iterator>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 using namespace pistachio;
@@ -399,6 +400,8 @@
 /// Throws std::exception if the file is not one that save() wrote.
 Run load(const std::string &file) {
   std::ifstream in(file);
+  if (!in)
+    throw std::runtime_error("cannot read " + file);
   const std::string text{std::istreambuf_iterator<char>(in), {}};
   const boost::json::value parsed = boost::json::parse(text);
   const boost::json::object &all = parsed.as_object();
