Select ranks with conditional moves

Cause: the ranking of 7 members took 183 ns and of 32 members 551 ns; a decision over the target's table took up to 838 ns (goal 100 ns). Ruled out: the hash, about 2 ns for each member. A sorted insertion mispredicts a branch for most members. Change: one pass without branches for each rank.

--- a/Source/Core/Routing/Service.cpp
+++ b/Source/Core/Routing/Service.cpp
@@ -80,23 +80,41 @@
 
 std::uint64_t Service::weight(std::uint16_t bucket, std::size_t index) const {
   const ServiceMember &it = Members[index];
-  // The lowest bit is given up for the state. Members whose weights differ only
-  // there are told apart by their index, which is in the order of ids on every
-  // node.
-  const std::uint64_t n = rankWeight(bucket, it.Id) >> 1;
+  // One bit is given up for the state, and the lowest one so that no weight is
+  // 0. Members whose weights differ only there are told apart by their index,
+  // which is in the order of ids on every node.
+  const std::uint64_t n = (rankWeight(bucket, it.Id) >> 1) | 1;
   return it.State == CandidateState::Suspect ? n : n | TrustedBit;
 }
 
 void Service::computeChain(std::uint16_t bucket,
                            std::span<std::uint16_t> out) const {
-  std::array<Ranked, MaxChain> top;
-  const std::span<Ranked> wanted(top.data(), std::min(out.size(), top.size()));
-  std::size_t count = 0;
+  if (Members.size() > MaxDirectMembers) {
+    std::array<Ranked, MaxChain> top;
+    std::size_t count = 0;
+    for (std::size_t n = 0; n < Members.size(); ++n)
+      insertRanked(std::span(top).first(out.size()), count,
+                   {weight(bucket, n), static_cast<std::uint16_t>(n)});
+    for (std::size_t n = 0; n < count; ++n)
+      out[n] = top[n].Index;
+    return;
+  }
+  // One pass for each rank: the comparisons become conditional moves, while a
+  // sorted insertion mispredicts a branch for most members.
+  std::array<std::uint64_t, MaxDirectMembers> weights;
   for (std::size_t n = 0; n < Members.size(); ++n)
-    insertRanked(wanted, count,
-                 {weight(bucket, n), static_cast<std::uint16_t>(n)});
-  for (std::size_t n = 0; n < count; ++n)
-    out[n] = top[n].Index;
+    weights[n] = weight(bucket, n);
+  for (std::uint16_t &it : out.first(std::min(out.size(), Members.size()))) {
+    std::size_t best = 0;
+    std::uint64_t heaviest = weights[0];
+    for (std::size_t n = 1; n < Members.size(); ++n) {
+      const bool isHeavier = weights[n] > heaviest;
+      best = isHeavier ? n : best;
+      heaviest = isHeavier ? weights[n] : heaviest;
+    }
+    weights[best] = 0;
+    it = static_cast<std::uint16_t>(best);
+  }
 }
 
 bool Service::updateChains(const Service &previous) {
