--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -45,8 +45,7 @@
 
 absl::Status AgentDaemon::start() {
   if (Settings.Metrics.Port != 0) {
-    if (const absl::Status exposed = Metrics->expose(Settings.Metrics);
-        !exposed.ok())
+    if (absl::Status exposed = Metrics->expose(Settings.Metrics); !exposed.ok())
       return exposed;
   }
   auto udp = openUdp(Context, Settings.Listen,
--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -41,11 +41,11 @@
 
 absl::Status BalancerDaemon::start() {
   if (Settings.Metrics.Port != 0) {
-    if (const absl::Status exposed = Registry->expose(Settings.Metrics);
+    if (absl::Status exposed = Registry->expose(Settings.Metrics);
         !exposed.ok())
       return exposed;
   }
-  if (const absl::Status started = startWorkers(); !started.ok())
+  if (absl::Status started = startWorkers(); !started.ok())
     return started;
   ControlLinkOptions options{Settings.Name, Settings.DataCentre,
                              Workers.front()->endpoint(), Settings.Control};
@@ -72,7 +72,7 @@
         Metrics, Lease, [this](const PeerLeaseAnswer &answer) {
           boost::asio::post(Context, [this, answer] { onPeerAnswer(answer); });
         });
-    if (const absl::Status started = worker->start(listen); !started.ok())
+    if (absl::Status started = worker->start(listen); !started.ok())
       return started;
     listen = worker->endpoint();
     Workers.push_back(std::move(worker));
--- a/Source/Balancer/PeerLeases.cpp
+++ b/Source/Balancer/PeerLeases.cpp
@@ -32,10 +32,10 @@
     if (it.Name != Node)
       peers.push_back(&it);
   }
-  std::ranges::stable_partition(
-      peers, [&](const BalancerRecord *it) { return isOther(*it); });
-  const auto others = static_cast<std::size_t>(std::ranges::count_if(
-      peers, [&](const BalancerRecord *it) { return isOther(*it); }));
+  const auto middle = std::stable_partition(
+      peers.begin(), peers.end(),
+      [&](const BalancerRecord *it) { return isOther(*it); });
+  const auto others = static_cast<std::size_t>(middle - peers.begin());
   const std::size_t pool = others > 0 ? others : peers.size();
   for (std::size_t i = 0; i < std::min(PeersAsked, pool); ++i) {
     const BalancerRecord &peer = *peers[Next++ % pool];
--- a/Source/Benchmarks/NodeLoad.cpp
+++ b/Source/Benchmarks/NodeLoad.cpp
@@ -119,6 +119,7 @@
   boost::asio::io_context context(1);
   Totals totals;
   std::vector<std::unique_ptr<SimulatedNode>> all;
+  all.reserve(static_cast<std::size_t>(nodes.getValue()));
   for (int i = 0; i < nodes.getValue(); ++i)
     all.push_back(std::make_unique<SimulatedNode>(
         context, *endpoint, "simulated-" + std::to_string(i),
