--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -401,7 +401,9 @@
 std::optional<ControlSettings> loadControlSettings(const std::string &path,
                                                    Findings &findings) {
   constexpr std::uint32_t MinLeaseMs = 500;
-  constexpr std::uint32_t MaxLeaseMs = 60'000;
+  // Agents probe first packets for 40 s after they join, which covers the 30 s
+  // in which callers repeat them and a lease of at most 10 s.
+  constexpr std::uint32_t MaxLeaseMs = 10'000;
   return load<ControlSettings>(
       path, findings, [&path](TableReader &reader, ControlSettings &settings) {
         settings.Name = reader.label("name");
