Release TCP connections when their context has stopped

Cause: a connection and the state of its server or client refer to each other until the close handler runs, which it does not once the context has stopped; LeakSanitizer reported it in four tests (two of TcpTest, two of ControlDaemonTest). Ruled out: the handlers of the daemons, which hold no reference of their own. Change: stop() lets go of the connections. After: the 93 tests that use sockets pass under the sanitisers.

--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -50,6 +50,9 @@
       Shared->Pending->cancel();
     if (Shared->Connection)
       Shared->Connection->close();
+    // The connection refers back to the state, and its close handler does not
+    // run if the context has stopped.
+    Shared->Connection.reset();
   }
 
 private:
--- a/Source/Core/Runtime/TcpServer.cpp
+++ b/Source/Core/Runtime/TcpServer.cpp
@@ -52,6 +52,9 @@
     Shared->Retry.cancel();
     for (const auto &it : Shared->Connections)
       it.second->close();
+    // Connections refer back to the state, and their close handlers do not run
+    // if the context has stopped.
+    Shared->Connections.clear();
   }
 
 private:
