--- a/Source/Agent/Main.cpp
+++ b/Source/Agent/Main.cpp
@@ -1,15 +1,16 @@
 #include "AgentDaemon.h"
+#include "DaemonMain.h"
+#include "RelayAgent.h"
 
 #include <iostream>
 
 using namespace pistachio;
 
 int main(int argc, char **argv) {
-  const DaemonArguments arguments =
-      parseDaemonArguments(argc, argv,
-                           "Runs beside one upstream: holds its flows, admits "
-                           "or refuses work and carries requests to it.",
-                           PISTACHIO_VERSION);
+  const DaemonArguments arguments = parseDaemonArguments(
+      argc, argv,
+      "Runs beside one upstream: decides what reaches it and announces it.",
+      PISTACHIO_VERSION);
   Findings findings;
   auto settings = loadAgentSettings(arguments.SettingsPath, findings);
   if (!settings) {
@@ -18,16 +19,12 @@
   }
   if (arguments.CheckOnly)
     return ExitCode::Ok;
-
   startLogging("pistachio-agent",
                parseLogLevel(settings->Log.Level).value_or(LogLevel::Info));
-  boost::asio::io_context context(1);
-  AgentDaemon daemon(context, *std::move(settings));
-  if (const absl::Status started = daemon.start(); !started.ok()) {
-    logEvent(LogLevel::Error, "start_failed", started.ToString());
-    return ExitCode::Failed;
-  }
-  onStopSignal(context, [&daemon] { daemon.beginStop(); });
-  context.run();
-  return ExitCode::Ok;
+  const std::string &path = arguments.SettingsPath;
+  return settings->Mode == FlowMode::Relay
+             ? runDaemon<RelayAgent>(path, *std::move(settings),
+                                     loadAgentSettings)
+             : runDaemon<AgentDaemon>(path, *std::move(settings),
+                                      loadAgentSettings);
 }
--- /dev/null
+++ b/Source/Agent/RelayAgent.cpp
@@ -0,0 +1,325 @@
+#include "RelayAgent.h"
+
+#include "platform/Platform.h"
+
+#include <variant>
+
+namespace pistachio {
+namespace {
+
+constexpr Duration StepInterval{100};
+constexpr Duration AnnounceInterval{1000};
+/// A control instance that has not answered for this long is left for the next
+/// one.
+constexpr Duration ControlTimeout{2500};
+/// Time for the last announcement to leave the process.
+constexpr Duration LeaveTime{200};
+/// Reports that may be lost before the upstream takes no new flows.
+constexpr int MissedReports = 3;
+
+std::string_view resultName(AnnounceResult result) {
+  switch (result) {
+  case AnnounceResult::Accepted:
+    return "accepted";
+  case AnnounceResult::Draining:
+    return "draining";
+  case AnnounceResult::DataCentreOut:
+    return "data-centre-out";
+  case AnnounceResult::Rejected:
+    return "rejected";
+  case AnnounceResult::Unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+struct RelayAgent::Metrics {
+  explicit Metrics(MetricsRegistry &registry)
+      : Delivered(registry.gauge("pistachio_agent_packets_delivered",
+                                 "Packets given to the upstream")),
+        Answered(registry.gauge("pistachio_agent_packets_answered",
+                                "Packets sent to callers")),
+        NotHeld(registry.gauge("pistachio_agent_packets_not_held",
+                               "Packets of flows that are held elsewhere")),
+        Declined(registry.gauge("pistachio_agent_flows_declined",
+                                "First packets sent to another upstream")),
+        Bad(registry.gauge("pistachio_agent_bad_datagrams",
+                           "Datagrams that could not be decoded")),
+        Flows(registry.gauge("pistachio_agent_flows", "Flows held")),
+        Busy(registry.gauge("pistachio_agent_busy_flows",
+                            "Flows with a request in progress")) {}
+
+  Gauge &Delivered;
+  Gauge &Answered;
+  Gauge &NotHeld;
+  Gauge &Declined;
+  Gauge &Bad;
+  Gauge &Flows;
+  Gauge &Busy;
+};
+
+RelayAgent::RelayAgent(boost::asio::io_context &context, AgentSettings settings)
+    : Context(context), Settings(std::move(settings)), Run(makeIncarnation()),
+      Format(platform::makePacketFormat()), Registry(makeMetricsRegistry()),
+      Measured(std::make_unique<Metrics>(*Registry)) {
+  UpstreamGateOptions options;
+  options.Service = Settings.Service;
+  options.Upstream = Settings.BackEnd;
+  options.CallerPort = Settings.Listen.Port;
+  options.ColdOvershoot = Settings.ColdOvershoot;
+  options.ColdSlack = Settings.ColdSlack;
+  options.ReportTimeout = Duration(Settings.ReportMs) * MissedReports;
+  Gate = makeUpstreamGate(std::move(options), *Format);
+}
+
+RelayAgent::~RelayAgent() = default;
+
+absl::Status RelayAgent::start() {
+  if (Settings.Metrics.Port != 0)
+    if (absl::Status exposed = Registry->expose(Settings.Metrics);
+        !exposed.ok())
+      return exposed;
+  auto inner =
+      openUdp(Context, Settings.Listen,
+              [this](std::span<const std::byte> buf, const Endpoint &from) {
+                onInnerDatagram(buf, from);
+              });
+  if (!inner.ok())
+    return inner.status();
+  Inner = *std::move(inner);
+  auto outbound =
+      openUdp(Context, Settings.Outbound,
+              [this](std::span<const std::byte> buf, const Endpoint &) {
+                onUpstreamDatagram(buf);
+              });
+  if (!outbound.ok())
+    return outbound.status();
+  Outbound = *std::move(outbound);
+  auto reports =
+      listenHttp(Context, Settings.Reports, platform::makeReportHandler(*this));
+  if (!reports.ok())
+    return reports.status();
+  Reports = *std::move(reports);
+
+  TcpHandlers handlers;
+  handlers.OnOpen = [this](ConnectionId) { announce(); };
+  handlers.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
+    onControlFrame(frame);
+  };
+  handlers.OnClose = [](ConnectionId) {};
+  LastReplyAt = steadyNow();
+  Control = connectTcp(Context, Settings.Control, std::move(handlers));
+  StepTimer = startTimer(Context, StepInterval, [this] { step(); });
+  logEvent(LogLevel::Info, "agent_started", "waiting for the upstream",
+           {{"service", Settings.Service},
+            {"listen", toString(Settings.Listen)},
+            {"upstream", toString(Settings.BackEnd)}});
+  return absl::OkStatus();
+}
+
+ReportResult RelayAgent::onReport(const UpstreamReport &report) {
+  Gate->setTime(steadyNow());
+  const ReportResult result = Gate->onReport(report);
+  if (result != ReportResult::Accepted)
+    logEvent(LogLevel::Warning, "report_ignored",
+             result == ReportResult::Outdated ? "an earlier report or lifetime"
+                                              : "another service or address",
+             {{"upstream", report.Id},
+              {"service", report.Service},
+              {"address", toString(report.Address)},
+              {"sequence", std::to_string(report.Sequence)},
+              {"born", std::to_string(report.BornMs)},
+              {"known_born", std::to_string(Gate->bornMs())}});
+  noteState();
+  return result;
+}
+
+bool RelayAgent::onLeft(std::string_view id) {
+  Gate->setTime(steadyNow());
+  const bool known = Gate->onLeft(id);
+  logEvent(LogLevel::Info, "upstream_left",
+           known ? "" : "the upstream was not known",
+           {{"upstream", std::string(id)}});
+  noteState();
+  return known;
+}
+
+/// Balancers should hear of a change at once.
+void RelayAgent::noteState() {
+  const GateState state = Gate->state(steadyNow());
+  const bool isNewLife = Gate->bornMs() != AnnouncedBorn;
+  if (state == LastState && !isNewLife)
+    return;
+  // Control keeps a drained or ended incarnation as it is.
+  if (isNewLife && AnnouncedBorn != 0)
+    Run = makeIncarnation();
+  AnnouncedBorn = Gate->bornMs();
+  logEvent(LogLevel::Info, "upstream_state", "",
+           {{"from", std::string(nameOf(LastState))},
+            {"to", std::string(nameOf(state))},
+            {"born", std::to_string(AnnouncedBorn)},
+            {"flows", std::to_string(Gate->load().Flows)}});
+  LastState = state;
+  announce();
+}
+
+void RelayAgent::onInnerDatagram(std::span<const std::byte> buf,
+                                 const Endpoint &from) {
+  auto message = decodeData(buf);
+  auto *relayed =
+      message.ok() ? std::get_if<RelayedPacket>(&*message) : nullptr;
+  if (relayed == nullptr) {
+    logEvent(LogLevel::Warning, "datagram_invalid",
+             message.ok() ? "unexpected kind" : message.status().ToString(),
+             {{"from", toString(from)}});
+    return;
+  }
+  GateOutput output;
+  Gate->onRelayed(std::move(*relayed), from, steadyNow(), output);
+  carryOut(output);
+}
+
+void RelayAgent::onUpstreamDatagram(std::span<const std::byte> buf) {
+  GateOutput output;
+  Gate->onUpstreamPacket(buf, steadyNow(), output);
+  carryOut(output);
+}
+
+void RelayAgent::carryOut(const GateOutput &output) {
+  for (const GateOutput::Datagram &it : output.Datagrams) {
+    if (const auto *packet = std::get_if<Bytes>(&it.Content)) {
+      Outbound->send(*packet, it.To);
+      continue;
+    }
+    const auto &message = std::get<DataMessage>(it.Content);
+    Output.clear();
+    if (const absl::Status encoded = encodeData(message, Output);
+        !encoded.ok()) {
+      logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
+      continue;
+    }
+    Inner->send(Output, it.To);
+    if (const auto *returned = std::get_if<ReturnedPacket>(&message)) {
+      const auto packet = Format->decode(returned->Packet);
+      logEvent(
+          LogLevel::Info, "packet_given_back", "",
+          {{"flow",
+            packet ? toString(FlowEnds{packet->Source, packet->Destination})
+                   : ""},
+           {"why", returned->Reason == ReturnReason::Declined ? "declined"
+                                                              : "not-held"},
+           {"state", std::string(nameOf(Gate->state(steadyNow())))},
+           {"busy", std::to_string(returned->Load.Busy)},
+           {"retry_ms", std::to_string(returned->RetryAfterMs)}});
+    }
+  }
+}
+
+void RelayAgent::announce() {
+  const TimePoint now = steadyNow();
+  const GateState state = Gate->state(now);
+  // Control suspects an upstream that is not announced.
+  if (state == GateState::Waiting || state == GateState::Silent)
+    return;
+  LastAnnounce = now;
+  Announce message;
+  message.Service = Settings.Service;
+  message.DataCentre = Settings.DataCentre;
+  message.Zone = Settings.Zone;
+  message.Machine = Settings.Machine;
+  message.Address = Settings.Listen;
+  message.Run = Run;
+  message.Slots = Gate->load().Slots;
+  message.Flows = Gate->load().Flows;
+  message.Draining = state == GateState::Draining;
+  message.Leaving = state == GateState::Ended;
+  Bytes buf;
+  if (const absl::Status encoded = encodeNode(message, buf); !encoded.ok()) {
+    logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
+    return;
+  }
+  Control->send(buf);
+  if (now - LastReplyAt > ControlTimeout) {
+    LastReplyAt = now;
+    logEvent(LogLevel::Warning, "control_lost",
+             "the control instance does not answer; trying the next one");
+    Control->reconnect();
+  }
+}
+
+void RelayAgent::onControlFrame(std::span<const std::byte> frame) {
+  const auto message = decodeNode(frame);
+  const auto *reply =
+      message.ok() ? std::get_if<AnnounceReply>(&*message) : nullptr;
+  if (reply == nullptr) {
+    logEvent(LogLevel::Warning, "control_message_invalid", "");
+    return;
+  }
+  if (LastResult != reply->Result) {
+    const bool isProblem = reply->Result == AnnounceResult::Rejected ||
+                           reply->Result == AnnounceResult::Unavailable;
+    logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
+             "control has given this upstream a state",
+             {{"result", std::string(resultName(reply->Result))},
+              {"upstream", std::to_string(reply->Upstream.Value)},
+              {"reason", reply->Reason}});
+    LastResult = reply->Result;
+  }
+  if (reply->Result == AnnounceResult::Unavailable) {
+    Control->reconnect();
+    return;
+  }
+  LastReplyAt = steadyNow();
+  if (reply->Result == AnnounceResult::Rejected)
+    return;
+  Gate->setColdRate(reply->ColdMilliPerSecond);
+  Gate->setWithdrawn(reply->Result == AnnounceResult::DataCentreOut ||
+                     reply->Result == AnnounceResult::Draining);
+}
+
+void RelayAgent::step() {
+  const TimePoint now = steadyNow();
+  GateOutput output;
+  Gate->tick(now, output);
+  carryOut(output);
+  noteState();
+  if (now - LastAnnounce >= AnnounceInterval)
+    announce();
+  const GateCounters &counters = Gate->counters();
+  Measured->Delivered.set(static_cast<double>(counters.Delivered));
+  Measured->Answered.set(static_cast<double>(counters.Answered));
+  Measured->NotHeld.set(static_cast<double>(counters.NotHeld));
+  Measured->Declined.set(static_cast<double>(counters.Declined));
+  Measured->Bad.set(static_cast<double>(counters.Bad));
+  Measured->Flows.set(Gate->load().Flows);
+  Measured->Busy.set(Gate->load().Busy);
+  if (StopBegan && now - *StopBegan >= LeaveTime)
+    finish();
+}
+
+void RelayAgent::beginStop() {
+  if (StopBegan)
+    return;
+  StopBegan = steadyNow();
+  announce();
+}
+
+void RelayAgent::finish() {
+  logEvent(LogLevel::Info, "agent_stopped", "",
+           {{"flows", std::to_string(Gate->load().Flows)}});
+  StepTimer->stop();
+  Control->stop();
+  Reports->stop();
+  Inner->stop();
+  Outbound->stop();
+  Context.stop();
+}
+
+void RelayAgent::reload(const AgentSettings &settings) {
+  Settings.Control = settings.Control;
+  Control->setServers(settings.Control);
+}
+
+} // namespace pistachio
--- a/Source/Balancer/ControlLink.h
+++ b/Source/Balancer/ControlLink.h
@@ -33,6 +33,10 @@
   /// Asks for a lease and goes on to the next control instance if none was
   /// granted for long.
   void renew(TimePoint now);
+  /// Used from the next connection on.
+  void setControl(std::vector<Endpoint> control) {
+    Client->setServers(std::move(control));
+  }
   void stop();
 
 private:
--- a/Source/Balancer/Main.cpp
+++ b/Source/Balancer/Main.cpp
@@ -1,4 +1,6 @@
 #include "BalancerDaemon.h"
+#include "DaemonMain.h"
+#include "RelayBalancer.h"
 
 #include <iostream>
 
@@ -17,16 +19,12 @@
   }
   if (arguments.CheckOnly)
     return ExitCode::Ok;
-
   startLogging("pistachio-balancer",
                parseLogLevel(settings->Log.Level).value_or(LogLevel::Info));
-  boost::asio::io_context context(1);
-  BalancerDaemon daemon(context, *std::move(settings));
-  if (const absl::Status started = daemon.start(); !started.ok()) {
-    logEvent(LogLevel::Error, "start_failed", started.ToString());
-    return ExitCode::Failed;
-  }
-  onStopSignal(context, [&daemon] { daemon.beginStop(); });
-  context.run();
-  return ExitCode::Ok;
+  const std::string &path = arguments.SettingsPath;
+  return settings->Mode == FlowMode::Relay
+             ? runDaemon<RelayBalancer>(path, *std::move(settings),
+                                        loadBalancerSettings)
+             : runDaemon<BalancerDaemon>(path, *std::move(settings),
+                                         loadBalancerSettings);
 }
--- a/Source/ControlDaemon/ControlBackend.cpp
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -36,6 +36,12 @@
   return "";
 }
 
+/// An operator's system gives up on a call after a second and goes to another
+/// instance.
+constexpr Duration OrderPatience{700};
+
+constexpr std::string_view OperatorsSystem = "operators-system";
+
 /// Faults that need no log entry. What passes here is decided by the state
 /// machine.
 absl::Status checkRequest(const ApplyRequest &request) {
@@ -176,4 +182,75 @@
   });
 }
 
+void ControlBackend::order(LogCommand command, TimePoint giveUpAt,
+                           std::function<void(absl::Status)> done) {
+  Calls.apply(command, [this, command, giveUpAt, done = std::move(done)](
+                           const absl::StatusOr<ApplyReply> &reply) {
+    // Not accepted for sure; a leader may be elected in time.
+    if (absl::IsUnavailable(reply.status()) && steadyNow() < giveUpAt) {
+      Orders.push_back({command, giveUpAt, done});
+      return;
+    }
+    const absl::Status outcome =
+        reply.ok() ? toOutcome(*reply).status() : reply.status();
+    ++(outcome.ok() ? Applied : Refused);
+    done(outcome);
+  });
+}
+
+void ControlBackend::tick(TimePoint /*now*/) {
+  for (Waiting &it : std::exchange(Orders, {}))
+    order(std::move(it.Command), it.GiveUpAt, std::move(it.Done));
+}
+
+void ControlBackend::applyRouting(RoutingPlan plan,
+                                  std::function<void(absl::Status)> done) {
+  ApplyRouting command;
+  command.Version = plan.Version;
+  command.Lines = formatRouting(plan.Services, plan.Routes, OperatorsSystem);
+  command.Document = std::move(plan.Document);
+  if (command.Document.size() > MaxRoutingDocumentBytes ||
+      command.Lines.size() > MaxRulesBytes)
+    return done(absl::InvalidArgumentError("the routing is too large"));
+  Findings findings;
+  RuleSet::parse(command.Lines, "routing", findings);
+  if (!findings.empty()) {
+    ++Refused;
+    return done(findings.toStatus());
+  }
+  // The same content under the same version is one operation, wherever it is
+  // sent again.
+  command.OperationId = concat(
+      "routing-", std::to_string(command.Version), "-",
+      std::to_string(checksum32(std::as_bytes(std::span(command.Document)))));
+  order(std::move(command), steadyNow() + OrderPatience, std::move(done));
+}
+
+void ControlBackend::readRouting(
+    std::function<void(absl::StatusOr<RoutingDocument>)> done) {
+  Calls.readRouting(
+      [done = std::move(done)](absl::StatusOr<RoutingReply> reply) {
+        if (!reply.ok())
+          return done(absl::UnavailableError(reply.status().message()));
+        if (reply->Routing.Version == 0)
+          return done(absl::NotFoundError("there is no routing yet"));
+        done(std::move(reply->Routing));
+      });
+}
+
+void ControlBackend::setDataCentre(std::string name, bool out,
+                                   std::function<void(absl::Status)> done) {
+  if (!isName(name))
+    return done(absl::InvalidArgumentError(
+        concat("'", name, "' is not a name of a data centre")));
+  SetDataCentre command;
+  command.DataCentre = std::move(name);
+  command.Out = out;
+  command.Operator = OperatorsSystem;
+  // Each order is one of its own: the same state may be wanted again later.
+  command.OperationId =
+      concat(out ? "out-" : "in-", std::to_string(makeIncarnation().Value));
+  order(std::move(command), steadyNow() + OrderPatience, std::move(done));
+}
+
 } // namespace pistachio
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -10,7 +10,8 @@
 
 /// Resolution of all timeouts; well below the heartbeat interval of 100 ms.
 constexpr Duration TickInterval{20};
-constexpr Duration JoinInterval{500};
+constexpr Duration JoinInterval{250};
+constexpr Duration DeclarationInterval{500};
 /// A lease lasts seconds, so it can still be granted when some of these
 /// questions are lost.
 constexpr Duration ConfirmInterval{250};
@@ -23,6 +24,13 @@
                                   : "candidate";
 }
 
+std::vector<Endpoint> seedsOf(const ControlSettings &settings) {
+  std::vector<Endpoint> seeds = settings.Seeds;
+  for (const MemberSettings &it : settings.Members)
+    seeds.push_back(it.Address);
+  return seeds;
+}
+
 bool isEmpty(const LogStorage &storage) {
   return storage.lastIndex() == 0 && !storage.snapshot() &&
          storage.hardState().Term == 0;
@@ -61,12 +69,12 @@
 
 absl::StatusOr<std::unique_ptr<ControlDaemon>>
 ControlDaemon::start(boost::asio::io_context &context, ControlSettings settings,
-                     bool initialise) {
+                     bool initialise, const OperatorApi &operatorApi) {
   std::unique_ptr<ControlDaemon> daemon(
       new ControlDaemon(context, std::move(settings)));
   if (absl::Status opened = daemon->open(initialise); !opened.ok())
     return opened;
-  if (absl::Status listening = daemon->listen(); !listening.ok())
+  if (absl::Status listening = daemon->listen(operatorApi); !listening.ok())
     return listening;
   daemon->Timer =
       startTimer(context, TickInterval, [it = daemon.get()] { it->tick(); });
@@ -77,10 +85,14 @@
 }
 
 absl::Status ControlDaemon::open(bool initialise) {
-  auto storage = openFileLogStorage(Settings.DataFolder);
-  if (!storage.ok())
-    return storage.status();
-  Storage = *std::move(storage);
+  if (Settings.DataFolder.empty()) {
+    Storage = makeMemoryLogStorage(MemberId{makeIncarnation().Value});
+  } else {
+    auto storage = openFileLogStorage(Settings.DataFolder);
+    if (!storage.ok())
+      return storage.status();
+    Storage = *std::move(storage);
+  }
   if (initialise && !isEmpty(*Storage))
     return absl::FailedPreconditionError(
         "data folder " + Settings.DataFolder +
@@ -93,7 +105,13 @@
   Control = std::make_unique<ReplicatedControl>(
       ReplicatedControlOptions{}, std::move(options), AnnouncementOptions{},
       *Storage, hooks(), steadyNow());
-  Membership = std::make_unique<GroupMembership>(*Control, Settings.Peers);
+  GroupMembershipOptions membership;
+  membership.Self = Settings.Peers;
+  membership.MayVote = !Settings.DataFolder.empty();
+  membership.FoundsGroup = Settings.FoundGroup && isEmpty(*Storage);
+  membership.Seeds = seedsOf(Settings);
+  Membership =
+      std::make_unique<GroupMembership>(*Control, std::move(membership));
   Calls = std::make_unique<LeaderCalls>(*Control, *Links);
   Nodes = std::make_unique<NodeChannel>(NodeChannelOptions{}, *Control, *Calls,
                                         Leases);
@@ -101,20 +119,31 @@
   return Control->health();
 }
 
-absl::Status ControlDaemon::listen() {
+absl::Status ControlDaemon::listen(const OperatorApi &operatorApi) {
   if (absl::Status status = Links->listen(Settings.Peers); !status.ok())
     return status;
   if (absl::Status status = Nodes->listen(Context, Settings.Nodes);
       !status.ok())
     return status;
-  AdminServerOptions options;
-  options.Listen = Settings.Admin;
-  for (const CredentialSettings &it : Settings.Credentials)
-    options.Credentials.push_back({it.Team, it.Secret});
-  auto admin = startAdminServer(Context, std::move(options), *Backend);
-  if (!admin.ok())
-    return admin.status();
-  Admin = *std::move(admin);
+  if (operatorApi && Settings.OperatorApi.Port != 0) {
+    auto server =
+        listenHttp(Context, Settings.OperatorApi, operatorApi(*Backend));
+    if (!server.ok())
+      return server.status();
+    Operator = *std::move(server);
+  }
+  if (!Settings.Credentials.empty()) {
+    AdminServerOptions options;
+    options.Listen = Settings.Admin;
+    for (const CredentialSettings &it : Settings.Credentials)
+      options.Credentials.push_back({it.Team, it.Secret});
+    auto admin = startAdminServer(Context, std::move(options), *Backend);
+    if (!admin.ok())
+      return admin.status();
+    Admin = *std::move(admin);
+  }
+  if (Settings.Metrics.Port == 0 && Settings.OperatorApi.Port != 0)
+    return absl::OkStatus();
   return Measured->Registry->expose(Settings.Metrics);
 }
 
@@ -153,10 +182,8 @@
   const TimePoint now = steadyNow();
   if (const auto *request = std::get_if<JoinRequest>(&message))
     return Links->send(Endpoint{}, Membership->onJoinRequest(*request, now));
-  if (const auto *reply = std::get_if<JoinReply>(&message)) {
-    JoinHint = reply->Leader;
-    return;
-  }
+  if (const auto *reply = std::get_if<JoinReply>(&message))
+    return Membership->onJoinReply(*reply, now);
   Control->receive(message, now);
 }
 
@@ -167,10 +194,12 @@
   Links->tick(now);
   Nodes->tick(now);
   Calls->tick(now);
-  if (Membership->needsToJoin())
+  Backend->tick(now);
+  if (Membership->needsToJoin(now))
     askToJoin(now);
   else
     followMembers();
+  declareDataCentres(now);
   confirmLeader(now);
   logRoleChange();
   const ConsensusNode &node = Control->node();
@@ -194,12 +223,29 @@
   if (now - LastJoin < JoinInterval)
     return;
   LastJoin = now;
-  Endpoint target = std::exchange(JoinHint, Endpoint{});
-  if (target.Port == 0 && !Settings.Members.empty())
-    target =
-        Settings.Members[NextJoinTarget++ % Settings.Members.size()].Address;
-  if (target.Port != 0 && target != Settings.Peers)
-    Links->send(target, Membership->joinRequest());
+  if (const auto target = Membership->nextJoinTarget())
+    Links->send(*target, Membership->joinRequest());
+}
+
+/// Upstreams and balancers of a data centre are accepted only once the rules
+/// declare it.
+void ControlDaemon::declareDataCentres(TimePoint now) {
+  if (!Control->isLeader() || now - LastDeclaration < DeclarationInterval)
+    return;
+  LastDeclaration = now;
+  for (const std::string &it : Settings.DataCentres) {
+    if (!Control->state().findDataCentre(it))
+      Backend->setDataCentre(it, false, [it](const absl::Status &status) {
+        logEvent(status.ok() ? LogLevel::Info : LogLevel::Warning,
+                 "data_centre_declared", status.ok() ? "" : messageOf(status),
+                 {{"data_centre", it}});
+      });
+  }
+}
+
+void ControlDaemon::reload(const ControlSettings &settings) {
+  Settings.Seeds = settings.Seeds;
+  Membership->setSeeds(seedsOf(Settings));
 }
 
 void ControlDaemon::followMembers() {
@@ -250,7 +296,10 @@
   if (Control->hasWaiters() && now < *StopBy)
     return;
   Timer->stop();
-  Admin->stop();
+  if (Operator)
+    Operator->stop();
+  if (Admin)
+    Admin->stop();
   Nodes->stop();
   Links->stop();
   logEvent(LogLevel::Info, "control_stopped", "control instance stopped");
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -8,6 +8,7 @@
 
 #include "absl/status/status.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -17,13 +18,19 @@
 /// thread of the context.
 class ControlDaemon {
 public:
+  using OperatorApi = std::function<HttpHandler(RoutingAdmin &)>;
+
   /// \p initialise makes a group of one; FailedPrecondition if the data folder
   /// already belongs to a group.
+  /// \p operatorApi serves the orders of operators' systems at the address that
+  /// the settings name for it.
   static absl::StatusOr<std::unique_ptr<ControlDaemon>>
   start(boost::asio::io_context &context, ControlSettings settings,
-        bool initialise);
+        bool initialise, const OperatorApi &operatorApi = {});
   ~ControlDaemon();
 
+  /// The seeds changed.
+  void reload(const ControlSettings &settings);
   /// Takes no more work, waits for changes in progress and stops the context.
   void stop();
   /// Why the daemon stopped; OK after stop().
@@ -37,7 +44,8 @@
   ControlDaemon(boost::asio::io_context &context, ControlSettings settings);
 
   absl::Status open(bool initialise);
-  absl::Status listen();
+  absl::Status listen(const OperatorApi &operatorApi);
+  void declareDataCentres(TimePoint now);
   ReplicatedControl::Hooks hooks();
   PeerLinks::Handlers peerHandlers();
   void onConsensus(const ConsensusMessage &message);
@@ -61,14 +69,13 @@
   std::unique_ptr<NodeChannel> Nodes;
   std::unique_ptr<ControlBackend> Backend;
   std::unique_ptr<AdminServer> Admin;
+  std::unique_ptr<HttpServer> Operator;
   std::unique_ptr<Metrics> Measured;
   std::unique_ptr<PeriodicTimer> Timer;
   std::optional<TimePoint> StopBy;
-  /// Where to ask for admission next.
-  std::size_t NextJoinTarget = 0;
-  Endpoint JoinHint;
   TimePoint LastJoin{};
   TimePoint LastConfirmation{};
+  TimePoint LastDeclaration{};
   Role LastRole = Role::Follower;
   std::vector<Member> LastMembers;
 };
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -2,28 +2,64 @@
 
 #include "ControlDaemon/ReplicatedControl.h"
 
+#include <optional>
+#include <span>
+
 namespace pistachio {
 
+struct GroupMembershipOptions {
+  /// Where the other members reach this instance.
+  Endpoint Self;
+  /// False without a disk: the instance stays a learner.
+  bool MayVote = true;
+  /// Set at the first start of a deployment: the instance at the lowest of the
+  /// seeds makes the group, or names the one that does if it has no disk.
+  bool FoundsGroup = false;
+  /// Where instances of the group can be found.
+  std::vector<Endpoint> Seeds;
+};
+
 /// Lets instances join the group: the leader adds a joiner as a learner and
-/// makes it a voter once it has caught up.
+/// makes it a voter once it has caught up. Removes voters that have been
+/// replaced.
 class GroupMembership {
 public:
-  GroupMembership(ReplicatedControl &control, Endpoint self)
-      : Control(control), Self(self) {}
+  GroupMembership(ReplicatedControl &control, GroupMembershipOptions options)
+      : Control(control), Options(std::move(options)) {}
 
   JoinReply onJoinRequest(const JoinRequest &request, TimePoint now);
-  /// At the leader: promotes learners.
+  void onJoinReply(const JoinReply &reply, TimePoint now);
+  /// At the leader: promotes learners and removes silent members.
   void tick(TimePoint now);
+  void setSeeds(std::vector<Endpoint> seeds) {
+    Options.Seeds = std::move(seeds);
+  }
 
-  /// This instance is in no group yet.
-  bool needsToJoin() const;
-  JoinRequest joinRequest() const { return {Control.identity(), Self}; }
+  /// This instance is in no group, or its group may have removed it while it
+  /// was away.
+  bool needsToJoin(TimePoint now);
+  JoinRequest joinRequest() const {
+    return {Control.identity(), Options.Self, Options.MayVote};
+  }
+  /// Where to ask for admission; each call names the next. Nothing if no other
+  /// instance is known.
+  std::optional<Endpoint> nextJoinTarget();
 
 private:
   absl::Status admit(const JoinRequest &request, TimePoint now);
+  void found(TimePoint now);
+  bool isListed() const;
+  bool isLowestSeed() const;
+  void removeSilent(std::span<const Member> members, TimePoint now);
+  void remove(const Member &member, TimePoint now);
 
   ReplicatedControl &Control;
-  Endpoint Self;
+  GroupMembershipOptions Options;
+  /// The instance that was told to make the group.
+  std::optional<JoinRequest> Founder;
+  Endpoint JoinHint;
+  std::size_t NextTarget = 0;
+  TimePoint LeaderSeenAt{};
 };
 
 } // namespace pistachio
--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -29,6 +29,27 @@
   }
 }
 
+template <typename T>
+concept Operation = requires(T it) {
+  it.OperationId;
+  it.ProposedAtMs;
+};
+
+/// The operation id of an operator's command, stamped with the time; empty for
+/// commands that no operator sends.
+std::string stampOperation(LogCommand &command) {
+  return std::visit(
+      [](auto &it) {
+        if constexpr (Operation<std::decay_t<decltype(it)>>) {
+          it.ProposedAtMs = wallClockMs();
+          return it.OperationId;
+        } else {
+          return std::string();
+        }
+      },
+      command);
+}
+
 absl::Status statusOf(CallOutcome outcome) {
   switch (outcome) {
   case CallOutcome::Answered:
@@ -62,12 +83,12 @@
       });
 }
 
-void LeaderCalls::apply(ApplyRules command,
+void LeaderCalls::apply(LogCommand command,
                         std::function<void(absl::StatusOr<ApplyReply>)> done) {
   if (Control.isLeader())
     return applyHere(std::move(command), std::move(done));
   ForwardedApply call;
-  if (absl::Status encoded = encodeCommand(std::move(command), call.Command);
+  if (absl::Status encoded = encodeCommand(command, call.Command);
       !encoded.ok())
     return done(std::move(encoded));
   callLeader<ForwardedApplyReply>(
@@ -87,14 +108,15 @@
 }
 
 void LeaderCalls::applyHere(
-    ApplyRules command, std::function<void(absl::StatusOr<ApplyReply>)> done) {
-  const std::string operationId = command.OperationId;
+    LogCommand command, std::function<void(absl::StatusOr<ApplyReply>)> done) {
+  const std::string operationId = stampOperation(command);
+  if (operationId.empty())
+    return done(absl::InvalidArgumentError("the command has no operation id"));
   const bool repeated = Control.state().findResult(operationId).has_value();
   // A result that is known here may come from a state that is behind; it is
   // final all the same, because the first result never changes.
   if (repeated)
     return done(ApplyReply{*Control.state().findResult(operationId), true});
-  command.ProposedAtMs = wallClockMs();
   Control.submit(
       std::move(command), steadyNow() + ApplyTimeout,
       [this, operationId, done = std::move(done)](const absl::Status &status) {
@@ -135,6 +157,31 @@
                });
 }
 
+void LeaderCalls::readRouting(
+    std::function<void(absl::StatusOr<RoutingReply>)> done) {
+  if (Control.isLeader())
+    return readRoutingHere(std::move(done));
+  callLeader<RoutingReply>(
+      RoutingQuery{}, ReadTimeout,
+      [done = std::move(done)](absl::StatusOr<RoutingReply> reply) {
+        if (reply.ok() && reply->Outcome != CallOutcome::Answered)
+          return done(statusOf(reply->Outcome));
+        done(std::move(reply));
+      });
+}
+
+void LeaderCalls::readRoutingHere(
+    std::function<void(absl::StatusOr<RoutingReply>)> done) {
+  const TimePoint now = steadyNow();
+  Control.read(now, now + ReadTimeout,
+               [this, done = std::move(done)](const absl::Status &status) {
+                 if (!status.ok())
+                   return done(status);
+                 done(RoutingReply{
+                     {}, CallOutcome::Answered, Control.state().routing()});
+               });
+}
+
 void LeaderCalls::readContacts(
     std::function<void(absl::StatusOr<StatusReply>)> done) {
   if (Control.isLeader())
@@ -220,11 +267,10 @@
                          const PeerLinks::SendReply &reply) {
   const PeerCallId id = call.Call;
   absl::StatusOr<LogCommand> command = decodeCommand(call.Command);
-  if (!Control.isLeader() || !command.ok() ||
-      !std::holds_alternative<ApplyRules>(*command))
+  if (!Control.isLeader() || !command.ok())
     return reply(
         ForwardedApplyReply{id, CallOutcome::NotLeader, 0, {}, "", false});
-  applyHere(std::get<ApplyRules>(*std::move(command)),
+  applyHere(*std::move(command),
             [id, reply](absl::StatusOr<ApplyReply> result) {
               ForwardedApplyReply message;
               message.Call = id;
@@ -307,6 +353,18 @@
   });
 }
 
+void LeaderCalls::answer(const RoutingQuery &call,
+                         const PeerLinks::SendReply &reply) {
+  const PeerCallId id = call.Call;
+  readRoutingHere([id, reply](absl::StatusOr<RoutingReply> result) {
+    RoutingReply message;
+    if (result.ok())
+      message = *std::move(result);
+    message.Call = id;
+    reply(message);
+  });
+}
+
 void LeaderCalls::answer(const StatusQuery &call,
                          const PeerLinks::SendReply &reply) {
   StatusReply message;
--- a/Source/ControlDaemon/LeaderCalls.h
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -22,10 +22,12 @@
   LeaderCalls(ReplicatedControl &control, PeerLinks &links)
       : Control(control), Links(links) {}
 
-  /// Unavailable: not accepted. DeadlineExceeded: the outcome is not known.
-  void apply(ApplyRules command,
+  /// An ApplyRules, ApplyRouting or SetDataCentre. Unavailable: not accepted.
+  /// DeadlineExceeded: the outcome is not known.
+  void apply(LogCommand command,
              std::function<void(absl::StatusOr<ApplyReply>)> done);
   void readRules(std::function<void(absl::StatusOr<RulesReply>)> done);
+  void readRouting(std::function<void(absl::StatusOr<RoutingReply>)> done);
   void readContacts(std::function<void(absl::StatusOr<StatusReply>)> done);
   /// A new upstream is answered once it is committed, so that the agent knows
   /// its id when balancers begin to send to it.
@@ -57,8 +59,9 @@
   template <typename Reply>
   void callLeader(PeerMessage &&message, Duration timeout,
                   std::function<void(absl::StatusOr<Reply>)> done);
-  void applyHere(ApplyRules command,
+  void applyHere(LogCommand command,
                  std::function<void(absl::StatusOr<ApplyReply>)> done);
+  void readRoutingHere(std::function<void(absl::StatusOr<RoutingReply>)> done);
   void readRulesHere(std::function<void(absl::StatusOr<RulesReply>)> done);
   StatusReply contactsHere() const;
   void
@@ -71,6 +74,7 @@
   void answer(const LeaderQuery &call, const PeerLinks::SendReply &reply);
   void answer(const RulesQuery &call, const PeerLinks::SendReply &reply);
   void answer(const StatusQuery &call, const PeerLinks::SendReply &reply);
+  void answer(const RoutingQuery &call, const PeerLinks::SendReply &reply);
   template <typename Other>
   void answer(const Other &, const PeerLinks::SendReply &) {}
 
--- a/Source/ControlDaemon/Main.cpp
+++ b/Source/ControlDaemon/Main.cpp
@@ -1,5 +1,7 @@
 #include "ControlDaemon/ControlDaemon.h"
 
+#include "platform/Platform.h"
+
 #include <cstdio>
 
 namespace {
@@ -18,15 +20,29 @@
   return absl::IsFailedPrecondition(status) || absl::IsDataLoss(status);
 }
 
-int run(const ControlSettings &settings, bool initialise) {
+int run(const std::string &path, const ControlSettings &settings,
+        bool initialise) {
   boost::asio::io_context context(1);
-  const auto daemon = ControlDaemon::start(context, settings, initialise);
+  const auto daemon = ControlDaemon::start(context, settings, initialise,
+                                           platform::makeOperatorHandler);
   if (!daemon.ok()) {
     logEvent(LogLevel::Error, "start_failed", messageOf(daemon.status()));
     return isFolderRefused(daemon.status()) ? ExitCode::BadSettings
                                             : ExitCode::Failed;
   }
-  onStopSignal(context, [&] { (*daemon)->stop(); });
+  const auto watch = watchFile(context, path, [&] {
+    Findings findings;
+    const auto changed = loadControlSettings(path, findings);
+    logEvent(changed ? LogLevel::Info : LogLevel::Error, "settings_reloaded",
+             changed ? "the seeds of the file are in force"
+                     : findings.format());
+    if (changed)
+      (*daemon)->reload(*changed);
+  });
+  onStopSignal(context, [&] {
+    watch->stop();
+    (*daemon)->stop();
+  });
   context.run();
   return (*daemon)->outcome().ok() ? ExitCode::Ok : ExitCode::Failed;
 }
@@ -48,5 +64,5 @@
     return ExitCode::Ok;
   startLogging("pistachio-control",
                parseLogLevel(settings->Log.Level).value_or(LogLevel::Info));
-  return run(*settings, initialise.IsSet);
+  return run(arguments.SettingsPath, *settings, initialise.IsSet);
 }
--- a/Source/ControlDaemon/PeerLinks.cpp
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -14,7 +14,8 @@
          std::holds_alternative<ForwardedNodeReply>(message) ||
          std::holds_alternative<LeaderReply>(message) ||
          std::holds_alternative<RulesReply>(message) ||
-         std::holds_alternative<StatusReply>(message);
+         std::holds_alternative<StatusReply>(message) ||
+         std::holds_alternative<RoutingReply>(message);
 }
 
 PeerCallId &callOf(PeerMessage &message) {
--- a/Source/ControlDaemon/ReplicatedControl.cpp
+++ b/Source/ControlDaemon/ReplicatedControl.cpp
@@ -197,6 +197,7 @@
     State->apply(entry.Index, *command);
   }
   Applied = entry.Index;
+  BytesSinceCompaction += entry.Payload.size();
   finishWaiters(entry.Index, entry.Term);
 }
 
@@ -245,10 +246,13 @@
 }
 
 void ReplicatedControl::compactIfDue() {
-  if (Applied - Compacted < Options.CompactAfterEntries || !StateHealth.ok())
+  const bool isDue = Applied - Compacted >= Options.CompactAfterEntries ||
+                     BytesSinceCompaction >= Options.CompactAfterBytes;
+  if (!isDue || !StateHealth.ok())
     return;
   // A failure is tried again after as many entries; the log itself stays.
   Compacted = Applied;
+  BytesSinceCompaction = 0;
   (void)Node->compact(State->save());
 }
 
--- a/Source/ControlDaemon/ReplicatedControl.h
+++ b/Source/ControlDaemon/ReplicatedControl.h
@@ -17,6 +17,9 @@
 struct ReplicatedControlOptions {
   /// Entries after which the log is replaced by a snapshot.
   std::uint64_t CompactAfterEntries = 10000;
+  /// The same for the bytes of the entries; a small disk must hold the log
+  /// twice.
+  std::uint64_t CompactAfterBytes = 4 * 1024 * 1024;
   /// Interval of the checks for silent upstreams and balancers.
   Duration TrackerInterval{250};
 };
@@ -120,6 +123,7 @@
   std::vector<std::pair<Done, absl::Status>> Completions;
   std::uint64_t Applied = 0;
   std::uint64_t Compacted = 0;
+  std::uint64_t BytesSinceCompaction = 0;
   bool WasLeader = false;
   TimePoint LastTrackerTick{};
   Revision LastPublished;
--- a/Source/Core/Admin/Admin.h
+++ b/Source/Core/Admin/Admin.h
@@ -4,6 +4,7 @@
 /// JSON, and its client.
 
 #include "Common/Common.h"
+#include "Rules/Rules.h"
 #include "Wire/Wire.h"
 
 #include "absl/status/status.h"
@@ -171,4 +172,32 @@
                                              std::string secret,
                                              Duration deadline);
 
+/// Routing as an operator's system states it, whole and with a version of its
+/// own.
+struct RoutingPlan {
+  std::uint64_t Version = 0;
+  std::vector<ServiceRule> Services;
+  std::vector<RouteRule> Routes;
+  /// What was sent; reads hand it back unchanged.
+  std::string Document;
+};
+
+/// Orders of an operator's system. Every order may be repeated, at any control
+/// instance. Errors: InvalidArgument if the order can never be carried out,
+/// Unavailable if it was not accepted here now, DeadlineExceeded if the outcome
+/// is not known.
+class RoutingAdmin {
+public:
+  virtual ~RoutingAdmin() = default;
+  /// OK also if the version is not above the one in force; nothing changes
+  /// then.
+  virtual void applyRouting(RoutingPlan plan,
+                            std::function<void(absl::Status)> done) = 0;
+  /// The newest routing; NotFound if there was none.
+  virtual void
+  readRouting(std::function<void(absl::StatusOr<RoutingDocument>)> done) = 0;
+  virtual void setDataCentre(std::string name, bool out,
+                             std::function<void(absl::Status)> done) = 0;
+};
+
 } // namespace pistachio
--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -24,6 +24,8 @@
   Endpoint Address;
   /// A learner (false) receives the log and has no vote.
   bool Voter = true;
+  /// Stays a learner: it keeps nothing across a restart.
+  bool Relay = false;
   friend bool operator==(const Member &, const Member &) = default;
 };
 
@@ -143,6 +145,15 @@
   virtual absl::Status remove(MemberId id, TimePoint now,
                               ConsensusOutput &output) = 0;
 
+  /// Makes a new group of \p members, this one among them.
+  /// FailedPrecondition if the member has a log or a term already.
+  virtual absl::Status found(std::span<const Member> members,
+                             TimePoint now) = 0;
+
+  /// At the leader: when the last request that the member answered was sent, or
+  /// the start of the leadership. None at other members and for this one.
+  virtual std::optional<TimePoint> lastContact(MemberId id) const = 0;
+
   /// Starts a linearizable read; isReadConfirmed() becomes true once a majority
   /// has confirmed the leader after this call and the state machine has applied
   /// the read index.
--- a/Source/Core/Consensus/MemberCodec.cpp
+++ b/Source/Core/Consensus/MemberCodec.cpp
@@ -4,9 +4,17 @@
 namespace pistachio {
 namespace {
 
-/// Id (8), address (4), port (2), voter (1); little endian.
+/// Id (8), address (4), port (2), kind (1); little endian.
 constexpr std::size_t MemberBytes = 15;
 
+enum MemberKind : std::uint8_t { Learner, Voter, Relay, LastKind = Relay };
+
+MemberKind kindOf(const Member &member) {
+  if (member.Voter)
+    return MemberKind::Voter;
+  return member.Relay ? MemberKind::Relay : MemberKind::Learner;
+}
+
 } // namespace
 
 Bytes encodeMembers(std::span<const Member> members) {
@@ -16,7 +24,7 @@
     storeLittle(at, it.Id.Value, 8);
     storeLittle(at + 8, it.Address.Address, 4);
     storeLittle(at + 12, it.Address.Port, 2);
-    storeLittle(at + 14, it.Voter ? 1 : 0, 1);
+    storeLittle(at + 14, kindOf(it), 1);
     at += MemberBytes;
   }
   return out;
@@ -28,13 +36,14 @@
     return absl::DataLossError("member list has an impossible length");
   std::vector<Member> out;
   for (; !buf.empty(); buf = buf.subspan(MemberBytes)) {
-    const std::uint64_t voter = loadLittle(buf.data() + 14, 1);
-    if (voter > 1)
+    const std::uint64_t kind = loadLittle(buf.data() + 14, 1);
+    if (kind > MemberKind::LastKind)
       return absl::DataLossError("member list has an unknown kind of member");
     out.push_back({MemberId{loadLittle(buf.data(), 8)},
                    {static_cast<std::uint32_t>(loadLittle(buf.data() + 8, 4)),
                     static_cast<std::uint16_t>(loadLittle(buf.data() + 12, 2))},
-                   voter == 1});
+                   kind == MemberKind::Voter,
+                   kind == MemberKind::Relay});
   }
   return out;
 }
--- a/Source/Core/Consensus/Membership.cpp
+++ b/Source/Core/Consensus/Membership.cpp
@@ -28,7 +28,7 @@
   std::vector<Member> members = config();
   if (members.size() >= MaxMembers)
     return absl::FailedPreconditionError("group has the most members allowed");
-  members.push_back({member.Id, member.Address, /*Voter=*/false});
+  members.push_back({member.Id, member.Address, /*Voter=*/false, member.Relay});
   return changeMembers(std::move(members), now, output);
 }
 
@@ -42,6 +42,8 @@
     return absl::NotFoundError("member is unknown");
   if (it->Voter)
     return absl::AlreadyExistsError("member is a voter already");
+  if (it->Relay)
+    return absl::FailedPreconditionError("a relay does not vote");
   const Progress &peer = Peers.at(id);
   const bool recent =
       peer.AckedSentAt && now < *peer.AckedSentAt + Options.ElectionTimeoutMin;
@@ -64,6 +66,13 @@
   return changeMembers(std::move(members), now, output);
 }
 
+std::optional<TimePoint> Node::lastContact(MemberId id) const {
+  const auto it = Peers.find(id);
+  if (CurrentRole != Role::Leader || it == Peers.end())
+    return std::nullopt;
+  return std::max(it->second.AckedSentAt.value_or(LeaderSince), LeaderSince);
+}
+
 absl::Status Node::changeMembers(std::vector<Member> members, TimePoint now,
                                  ConsensusOutput &output) {
   const LogEntry entry{State.Term, Storage.lastIndex() + 1,
--- a/Source/Core/Consensus/Node.cpp
+++ b/Source/Core/Consensus/Node.cpp
@@ -16,7 +16,7 @@
     : Options(std::move(options)), Storage(storage), Self(storage.identity()),
       State(storage.hardState()), LeaderHeardAt(now) {
   if (Storage.lastIndex() == 0)
-    bootstrap();
+    bootstrap(Options.InitialMembers);
   ToRestore = Storage.snapshot();
   if (ToRestore)
     CommitIndex = AppliedIndex = ToRestore->LastIndex;
@@ -31,17 +31,32 @@
 // Every initial member writes the same first entry, so it is committed by
 // construction. A wiped folder has a new identity, is not in the list and
 // starts empty.
-void Node::bootstrap() {
+void Node::bootstrap(std::span<const Member> members) {
   const auto isSelf = [&](const Member &it) { return it.Id == Self; };
-  if (std::ranges::none_of(Options.InitialMembers, isSelf))
+  if (std::ranges::none_of(members, isSelf))
     return;
   const LogEntry first{BootstrapTerm, 1, EntryKind::Membership,
-                       encodeMembers(Options.InitialMembers)};
+                       encodeMembers(members)};
   if (!check(Storage.append(std::span(&first, 1))))
     return;
   saveState({std::max(State.Term, BootstrapTerm), State.VotedFor});
 }
 
+absl::Status Node::found(std::span<const Member> members, TimePoint now) {
+  if (Storage.lastIndex() != 0 || Storage.snapshot() || State.Term != 0)
+    return absl::FailedPreconditionError("the member belongs to a group");
+  bootstrap(members);
+  loadConfigurations();
+  if (Configurations.empty())
+    return Health.ok() ? absl::InvalidArgumentError(
+                             "the member is not in the list of its group")
+                       : Health;
+  resetElectionDeadline(now);
+  if (isVoter(Self) && majority() == 1)
+    ElectionDeadline = now;
+  return Health;
+}
+
 void Node::loadConfigurations() {
   if (ToRestore)
     Configurations.push_back({ToRestore->LastIndex, ToRestore->Members});
--- a/Source/Core/Consensus/Node.h
+++ b/Source/Core/Consensus/Node.h
@@ -63,6 +63,8 @@
                        ConsensusOutput &output) override;
   absl::Status remove(MemberId id, TimePoint now,
                       ConsensusOutput &output) override;
+  absl::Status found(std::span<const Member> members, TimePoint now) override;
+  std::optional<TimePoint> lastContact(MemberId id) const override;
   absl::StatusOr<std::uint64_t> startRead(TimePoint now,
                                           ConsensusOutput &output) override;
   bool isReadConfirmed(std::uint64_t read) const override;
@@ -79,7 +81,7 @@
 private:
   // Node.cpp
   void loadConfigurations();
-  void bootstrap();
+  void bootstrap(std::span<const Member> members);
   bool check(const absl::Status &status);
   bool saveState(HardState state);
   absl::Status appendAndSync(std::span<const LogEntry> entries);
--- a/Source/Core/Control/ChangeHistory.cpp
+++ b/Source/Core/Control/ChangeHistory.cpp
@@ -40,11 +40,13 @@
     append(all.DataCentres, it->DataCentres);
     append(all.Upstreams, it->Upstreams);
     append(all.Balancers, it->Balancers);
+    append(all.Routes, it->Routes);
   }
   sortUnique(all.Services);
   sortUnique(all.DataCentres);
   sortUnique(all.Upstreams);
   sortUnique(all.Balancers);
+  sortUnique(all.Routes);
   return all;
 }
 
--- a/Source/Core/Control/ChangeHistory.h
+++ b/Source/Core/Control/ChangeHistory.h
@@ -15,10 +15,12 @@
   std::vector<DataCentreId> DataCentres;
   std::vector<UpstreamId> Upstreams;
   std::vector<std::string> Balancers;
+  /// Addresses of routes.
+  std::vector<Endpoint> Routes;
 
   std::size_t size() const {
     return Services.size() + DataCentres.size() + Upstreams.size() +
-           Balancers.size();
+           Balancers.size() + Routes.size();
   }
 };
 
--- a/Source/Core/Control/Control.h
+++ b/Source/Core/Control/Control.h
@@ -62,6 +62,7 @@
   virtual Revision published() const = 0;
   virtual Revision rulesRevision() const = 0;
   virtual const RuleSet &rules() const = 0;
+  virtual const RoutingDocument &routing() const = 0;
   virtual std::vector<UpstreamInfo> upstreams() const = 0;
   virtual std::optional<UpstreamInfo> findUpstream(UpstreamId id) const = 0;
   virtual std::optional<UpstreamInfo>
--- a/Source/Core/Control/ControlData.h
+++ b/Source/Core/Control/ControlData.h
@@ -24,6 +24,8 @@
   std::map<std::string, DataCentreRecord, std::less<>> DataCentres;
   std::map<UpstreamId, UpstreamInfo> Upstreams;
   std::map<std::string, BalancerRecord, std::less<>> Balancers;
+  std::map<Endpoint, RouteRecord> Routes;
+  RoutingDocument Routing;
   ResultTable Results;
   ChangeHistory History;
 };
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -13,6 +13,13 @@
 /// the first one.
 constexpr std::size_t MaxResultTextBytes = 64 * 1024;
 
+/// Kinds of rules that a routing replaces.
+constexpr std::string_view RoutingKinds[] = {"service", "route"};
+
+/// Services that a route remembers although it does not name them any more;
+/// the oldest are forgotten first.
+constexpr std::size_t MaxFormerServices = 8;
+
 /// Cuts at the end of a line.
 std::string boundedText(std::string text) {
   if (text.size() <= MaxResultTextBytes)
@@ -47,6 +54,7 @@
   Revision published() const override { return Data.Published; }
   Revision rulesRevision() const override { return Data.RulesRevision; }
   const RuleSet &rules() const override { return Data.Rules; }
+  const RoutingDocument &routing() const override { return Data.Routing; }
 
   std::vector<UpstreamInfo> upstreams() const override {
     std::vector<UpstreamInfo> all;
@@ -124,10 +132,18 @@
   bool applyOne(const UpstreamLeft &command, TableChange &change);
   bool applyOne(const BalancerJoined &command, TableChange &change);
   bool applyOne(const BalancerLeft &command, TableChange &change);
-
+  bool applyOne(const ApplyRouting &command, TableChange &change);
+  bool applyOne(const SetDataCentre &command, TableChange &change);
+
+  template <typename Command, typename Decide>
+  bool applyOnce(const Command &command, Decide decide);
+  ApplyResult decide(const ApplyRouting &command, TableChange &change);
+  ApplyResult decide(const SetDataCentre &command, TableChange &change);
+  ApplyResult replaceRulesText(std::string text, TableChange &change);
   ApplyResult decide(const ApplyRules &command, TableChange &change);
   void takeRules(RuleSet rules, TableChange &change);
   void updateServices(TableChange &change);
+  void updateRoutes(TableChange &change);
   void updateDataCentres(TableChange &change);
   void removeOrphans(TableChange &change);
   void updateDrains(TableChange &change);
@@ -149,18 +165,87 @@
   std::set<UpstreamId> Drained;
 };
 
-bool ControlStateImpl::applyOne(const ApplyRules &command,
-                                TableChange &change) {
+/// Runs \p decide unless the operation was applied before.
+template <typename Command, typename Decide>
+bool ControlStateImpl::applyOnce(const Command &command, Decide decide) {
   Data.Results.advance(command.ProposedAtMs);
   if (Data.Results.find(command.OperationId))
     return false;
-  ApplyResult result = decide(command, change);
+  ApplyResult result = decide();
   const bool publishes = result.What == ApplyResult::Code::Applied;
   result.Text = boundedText(std::move(result.Text));
   Data.Results.add(command.OperationId, std::move(result));
   return publishes;
 }
 
+bool ControlStateImpl::applyOne(const ApplyRules &command,
+                                TableChange &change) {
+  return applyOnce(command, [&] { return decide(command, change); });
+}
+
+bool ControlStateImpl::applyOne(const ApplyRouting &command,
+                                TableChange &change) {
+  return applyOnce(command, [&] { return decide(command, change); });
+}
+
+bool ControlStateImpl::applyOne(const SetDataCentre &command,
+                                TableChange &change) {
+  return applyOnce(command, [&] { return decide(command, change); });
+}
+
+ApplyResult ControlStateImpl::decide(const ApplyRouting &command,
+                                     TableChange &change) {
+  using Code = ApplyResult::Code;
+  if (command.Version <= Data.Routing.Version)
+    return {Code::Unchanged, Data.RulesRevision, ""};
+  ApplyResult result = replaceRulesText(
+      replaceRules(Data.Rules, RoutingKinds, command.Lines), change);
+  if (result.What == Code::Invalid)
+    return result;
+  Data.Routing = {command.Version, command.Document};
+  return result;
+}
+
+ApplyResult ControlStateImpl::decide(const SetDataCentre &command,
+                                     TableChange &change) {
+  const std::string &name = command.DataCentre;
+  const auto has = [&](std::span<const std::string> names) {
+    return std::ranges::find(names, name) != names.end();
+  };
+  const auto line = [&](std::string_view kind) {
+    return concat(kind, " ", name, " # asked by ", command.Operator, "\n");
+  };
+  std::string text = Data.Rules.text();
+  if (!text.empty() && !text.ends_with('\n'))
+    text += '\n';
+  if (!has(Data.Rules.dataCentres()))
+    text += line("datacentre");
+  if (command.Out && !has(Data.Rules.out())) {
+    text += line("out");
+  } else if (!command.Out && has(Data.Rules.out())) {
+    absl::StatusOr<std::string> without =
+        removeRule(Data.Rules, concat("out ", name));
+    if (!without.ok())
+      return {ApplyResult::Code::Invalid, Data.RulesRevision,
+              messageOf(without.status())};
+    text = *std::move(without);
+  }
+  return replaceRulesText(std::move(text), change);
+}
+
+ApplyResult ControlStateImpl::replaceRulesText(std::string text,
+                                               TableChange &change) {
+  using Code = ApplyResult::Code;
+  if (text == Data.Rules.text())
+    return {Code::Unchanged, Data.RulesRevision, ""};
+  Findings findings;
+  std::optional<RuleSet> rules = RuleSet::parse(text, "rules", findings);
+  if (!rules)
+    return {Code::Invalid, Data.RulesRevision, findings.format()};
+  takeRules(*std::move(rules), change);
+  return {Code::Applied, change.At, ""};
+}
+
 ApplyResult ControlStateImpl::decide(const ApplyRules &command,
                                      TableChange &change) {
   using Code = ApplyResult::Code;
@@ -192,6 +277,7 @@
   Data.RulesRevision = change.At;
   rememberDrained();
   updateServices(change);
+  updateRoutes(change);
   updateDataCentres(change);
   removeOrphans(change);
   updateDrains(change);
@@ -217,6 +303,41 @@
   Data.Services = std::move(next);
 }
 
+void ControlStateImpl::updateRoutes(TableChange &change) {
+  std::map<Endpoint, RouteRecord> next;
+  std::set<ServiceId> services;
+  for (const auto &[name, it] : Data.Services)
+    services.insert(it.Id);
+  for (const RouteRule &rule : Data.Rules.routes()) {
+    RouteRecord record{rule.Address, {}, {}};
+    for (const RouteTarget &it : rule.Targets)
+      record.Shares.push_back({Data.Services.at(it.Service).Id, it.Weight});
+    const auto isNamed = [&](ServiceId id) {
+      return std::ranges::count(record.Shares, id, &RouteShare::Service) > 0;
+    };
+    const auto old = Data.Routes.find(rule.Address);
+    if (old != Data.Routes.end()) {
+      record.Former = old->second.Former;
+      for (const RouteShare &it : old->second.Shares)
+        if (std::ranges::count(record.Former, it.Service) == 0)
+          record.Former.push_back(it.Service);
+      std::erase_if(record.Former, [&](ServiceId id) {
+        return isNamed(id) || !services.contains(id);
+      });
+      if (record.Former.size() > MaxFormerServices)
+        record.Former.erase(record.Former.begin(),
+                            record.Former.end() - MaxFormerServices);
+    }
+    if (old == Data.Routes.end() || old->second != record)
+      change.Routes.push_back(rule.Address);
+    next.emplace(rule.Address, std::move(record));
+  }
+  for (const auto &[address, record] : Data.Routes)
+    if (!next.contains(address))
+      change.Routes.push_back(address);
+  Data.Routes = std::move(next);
+}
+
 void ControlStateImpl::updateDataCentres(TableChange &change) {
   const std::set<std::string, std::less<>> out(Data.Rules.out().begin(),
                                                Data.Rules.out().end());
@@ -403,6 +524,10 @@
     const auto it = Data.Balancers.find(name);
     it == Data.Balancers.end() ? writer.remove(name) : writer.add(it->second);
   }
+  for (const Endpoint &address : change.Routes) {
+    const auto it = Data.Routes.find(address);
+    it == Data.Routes.end() ? writer.remove(address) : writer.add(it->second);
+  }
   return writer.finish();
 }
 
@@ -416,6 +541,8 @@
     writer.add(it.Record);
   for (const auto &[name, it] : Data.Balancers)
     writer.add(it);
+  for (const auto &[address, it] : Data.Routes)
+    writer.add(it);
   return writer.finish();
 }
 
--- a/Source/Core/Control/StateCodec.cpp
+++ b/Source/Core/Control/StateCodec.cpp
@@ -6,7 +6,9 @@
 namespace {
 
 /// Altered with every change of the layout below.
-constexpr std::uint32_t LayoutVersion = 1;
+constexpr std::uint32_t LayoutVersion = 2;
+/// The first layout has no routes; it is still read.
+constexpr std::uint32_t FirstLayoutVersion = 1;
 constexpr std::size_t MaxTextBytes = 2 * MaxRulesBytes;
 constexpr std::size_t MaxItems = 16 * 1024 * 1024;
 
@@ -66,10 +68,25 @@
   image(archive, it.Result.Text);
 }
 
+template <typename Archive> void image(Archive &archive, Endpoint &it) {
+  field(archive, it);
+}
+
+template <typename Archive> void image(Archive &archive, RouteShare &it) {
+  field(archive, it.Service);
+  field(archive, it.Weight);
+}
+
 template <typename Container> void images(InputArchive &archive, Container &it);
 template <typename Container>
 void images(OutputArchive &archive, Container &it);
 
+template <typename Archive> void image(Archive &archive, RouteRecord &it) {
+  field(archive, it.Address);
+  images(archive, it.Shares);
+  images(archive, it.Former);
+}
+
 template <typename Archive> void image(Archive &archive, TableChange &it) {
   field(archive, it.At);
   images(archive, it.Services);
@@ -93,6 +110,15 @@
     image(archive, item);
 }
 
+/// The routes of one entry of the history, which the first layout lacks.
+struct RouteChange {
+  std::vector<Endpoint> Routes;
+};
+
+template <typename Archive> void image(Archive &archive, RouteChange &it) {
+  images(archive, it.Routes);
+}
+
 /// The parts of ControlData in the order in which they are stored.
 struct StateImage {
   std::uint32_t Version = LayoutVersion;
@@ -110,11 +136,16 @@
   std::deque<StoredResult> Results;
   Revision HistoryFloor;
   std::deque<TableChange> History;
+  std::vector<RouteRecord> Routes;
+  /// As many as History.
+  std::vector<RouteChange> RouteHistory;
+  std::uint64_t RoutingVersion = 0;
+  std::string RoutingText;
 };
 
 template <typename Archive> void image(Archive &archive, StateImage &it) {
   field(archive, it.Version);
-  if (it.Version != LayoutVersion)
+  if (it.Version < FirstLayoutVersion || it.Version > LayoutVersion)
     throw cereal::Exception("the state has another layout version");
   field(archive, it.Published);
   field(archive, it.RulesRevision);
@@ -130,6 +161,14 @@
   images(archive, it.Results);
   field(archive, it.HistoryFloor);
   images(archive, it.History);
+  if (it.Version == FirstLayoutVersion)
+    return;
+  images(archive, it.Routes);
+  images(archive, it.RouteHistory);
+  if (it.RouteHistory.size() != it.History.size())
+    throw cereal::Exception("the histories differ in length");
+  field(archive, it.RoutingVersion);
+  image(archive, it.RoutingText);
 }
 
 template <typename Map> auto valuesOf(const Map &map) {
@@ -156,6 +195,11 @@
   it.Results = data.Results.stored();
   it.HistoryFloor = data.History.floor();
   it.History = data.History.changes();
+  it.Routes = valuesOf(data.Routes);
+  for (const TableChange &change : it.History)
+    it.RouteHistory.push_back({change.Routes});
+  it.RoutingVersion = data.Routing.Version;
+  it.RoutingText = data.Routing.Text;
   return it;
 }
 
@@ -175,6 +219,11 @@
     data.Upstreams.emplace(it.Record.Id, it);
   for (BalancerRecord &it : image.Balancers)
     data.Balancers.emplace(it.Name, it);
+  for (std::size_t i = 0; i < image.RouteHistory.size(); ++i)
+    image.History[i].Routes = std::move(image.RouteHistory[i].Routes);
+  for (RouteRecord &it : image.Routes)
+    data.Routes.emplace(it.Address, std::move(it));
+  data.Routing = {image.RoutingVersion, std::move(image.RoutingText)};
   data.Results.restore(image.LogTimeMs, std::move(image.Results));
   data.History.restore(image.HistoryFloor, std::move(image.History));
   return data;
--- a/Source/Core/Control/TableParts.cpp
+++ b/Source/Core/Control/TableParts.cpp
@@ -11,7 +11,10 @@
 constexpr std::size_t DataCentreBytes = 7;
 constexpr std::size_t UpstreamBytes = 25;
 constexpr std::size_t BalancerBytes = 12;
+constexpr std::size_t RouteBytes = 14;
+constexpr std::size_t RouteShareBytes = 8;
 constexpr std::size_t IdBytes = 4;
+constexpr std::size_t EndpointBytes = 6;
 
 } // namespace
 
@@ -49,6 +52,12 @@
   room(BalancerBytes + record.Name.size()).Balancers.push_back(record);
 }
 
+void TablePartWriter::add(const RouteRecord &record) {
+  room(RouteBytes + record.Shares.size() * RouteShareBytes +
+       record.Former.size() * IdBytes)
+      .Routes.push_back(record);
+}
+
 void TablePartWriter::remove(ServiceId id) {
   room(IdBytes).RemovedServices.push_back(id);
 }
@@ -65,6 +74,10 @@
   room(IdBytes + balancer.size()).RemovedBalancers.push_back(balancer);
 }
 
+void TablePartWriter::remove(const Endpoint &route) {
+  room(EndpointBytes).RemovedRoutes.push_back(route);
+}
+
 std::vector<TableUpdate> TablePartWriter::finish() {
   for (std::size_t i = 0; i < Parts.size(); ++i) {
     Parts[i].Part = static_cast<std::uint32_t>(i);
--- a/Source/Core/Control/TableParts.h
+++ b/Source/Core/Control/TableParts.h
@@ -16,10 +16,12 @@
   void add(const DataCentreRecord &record);
   void add(const UpstreamRecord &record);
   void add(const BalancerRecord &record);
+  void add(const RouteRecord &record);
   void remove(ServiceId id);
   void remove(DataCentreId id);
   void remove(UpstreamId id);
   void remove(const std::string &balancer);
+  void remove(const Endpoint &route);
 
   /// The parts, numbered; at least one.
   std::vector<TableUpdate> finish();
--- a/Source/Core/Placement/AdmissionController.cpp
+++ b/Source/Core/Placement/AdmissionController.cpp
@@ -32,7 +32,9 @@
   return static_cast<std::uint32_t>(Limit);
 }
 
-bool AdmissionController::tryStart(TimePoint /*now*/) {
+bool AdmissionController::tryStart(TimePoint now) {
+  if (!HoldUntil)
+    HoldUntil = now + Options.ColdHold;
   if (InFlight >= limit())
     return false;
   ++InFlight;
@@ -85,12 +87,13 @@
     return;
   }
   // A limit that is not used says nothing about what the back end can bear.
-  if (wasFull)
+  if (wasFull && (!HoldUntil || now >= *HoldUntil))
     Limit = std::min(static_cast<double>(Options.Slots), Limit + (1 / Limit));
 }
 
 void AdmissionController::restart(TimePoint now) {
   Limit = Options.InitialLimit;
+  HoldUntil = now + Options.ColdHold;
   LastDecrease = now;
   FloorSince.reset();
 }
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -25,6 +25,10 @@
   std::uint32_t Slots = 1;
   /// Limit of a new or cold upstream.
   double InitialLimit = 1;
+  /// The limit does not grow for this long after the first request or a
+  /// restart: trying whether a cold back end bears more would give it more than
+  /// it bears. Twice the cold start of 2 s that the deployments state.
+  Duration ColdHold{4000};
   /// A latency above this multiple of the recent floor lowers the limit.
   double LatencyTolerance = 2;
   double DecreaseFactor = 0.5;
@@ -68,6 +72,8 @@
   AdmissionOptions Options;
   double Limit;
   std::uint32_t InFlight = 0;
+  /// End of the time in which the limit does not grow.
+  std::optional<TimePoint> HoldUntil;
   /// Zero while nothing has been measured.
   Duration Floor{0};
   Duration FormerFloor{0};
--- /dev/null
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -0,0 +1,437 @@
+#include "Relay/Relay.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pistachio {
+namespace {
+
+/// An agent's search ends after this many; a packet carries the count.
+constexpr std::uint8_t MaxAttempts = 250;
+
+/// Load that one open flow adds on average, in requests: long flows are idle
+/// for most of the time.
+constexpr double FlowLoad = 0.05;
+
+/// Share of its slots by which an upstream of another data centre must be less
+/// loaded to be chosen.
+constexpr double RemotePenalty = 0.2;
+
+/// A half of the sequence space: further away lies another numbering.
+constexpr std::uint32_t SequenceWindow = 16U * 1024 * 1024;
+
+std::uint64_t hashOf(const FlowEnds &flow) {
+  const auto word = [](const Endpoint &it) {
+    return (std::uint64_t{it.Address} << 16) | it.Port;
+  };
+  return mix64(mix64(word(flow.Caller) + 0x9E3779B97F4A7C15ULL) ^
+               word(flow.Service));
+}
+
+/// What the balancer has learned of an agent.
+struct AgentView {
+  UpstreamLoad Load;
+  /// Flows that were placed there since the last report of its load.
+  std::uint32_t PlacedSince = 0;
+  /// No new flow is offered until then.
+  TimePoint AvoidUntil{};
+  TimePoint SilentUntil{};
+};
+
+struct Holder {
+  Endpoint Agent;
+  std::uint32_t FirstSequence = 0;
+};
+
+struct FlowEntry {
+  /// Where packets go; not confirmed while a first packet or a question is on
+  /// its way.
+  Holder Current;
+  /// Another upstream that accepted a copy of the first packet.
+  Holder Other;
+  ServiceTag Service;
+  bool Confirmed = false;
+  bool Searching = false;
+  /// A candidate was passed over without an answer.
+  bool Skipped = false;
+  std::uint8_t Attempt = 0;
+  TimePoint AskedAt{};
+  TimePoint SeenAt{};
+};
+
+struct Candidate {
+  const ServiceMember *Member = nullptr;
+  ServiceTag Service;
+};
+
+class FlowRouterImpl final : public FlowRouter {
+public:
+  explicit FlowRouterImpl(FlowRouterOptions options)
+      : Options(std::move(options)) {}
+
+  RelayDecision onCallerPacket(const FlowPacket &packet,
+                               const ServiceTable &table,
+                               TimePoint now) override;
+  RelayDecision onReturned(const FlowPacket &packet,
+                           const ReturnedPacket &message, const Endpoint &agent,
+                           const ServiceTable &table, TimePoint now) override;
+  void onHeld(const FlowHeld &message, const Endpoint &agent,
+              TimePoint now) override;
+  void tick(TimePoint now) override;
+  std::size_t flowCount() const override { return Flows.size(); }
+
+private:
+  RelayDecision open(const FlowEnds &flow, const RouteRecord &route,
+                     const ServiceTable &table, TimePoint now);
+  RelayDecision place(FlowEntry &entry, const FlowEnds &flow,
+                      const RouteRecord &route, const ServiceTable &table,
+                      TimePoint now);
+  RelayDecision search(FlowEntry &entry, const FlowEnds &flow,
+                       const RouteRecord &route, const ServiceTable &table,
+                       TimePoint now);
+  std::vector<Candidate> candidates(const FlowEnds &flow,
+                                    const RouteRecord &route,
+                                    const ServiceTable &table,
+                                    TimePoint now) const;
+  const Service *chooseService(const FlowEnds &flow, const RouteRecord &route,
+                               const ServiceTable &table) const;
+  double loadOf(const ServiceMember &member, DataCentreId home) const;
+  bool isOffered(const ServiceMember &member, TimePoint now) const;
+  FlowEntry &entryOf(const FlowEnds &flow, TimePoint now);
+  static RelayDecision forward(const FlowEntry &entry, RelayReason reason);
+  RelayDecision forget(const FlowEnds &flow, RelayAction action,
+                       RelayReason reason);
+
+  FlowRouterOptions Options;
+  absl::flat_hash_map<FlowEnds, FlowEntry> Flows;
+  absl::flat_hash_map<Endpoint, AgentView, std::hash<Endpoint>> Agents;
+  TimePoint LastSweep{};
+};
+
+RelayDecision FlowRouterImpl::forward(const FlowEntry &entry,
+                                      RelayReason reason) {
+  return {RelayAction::Forward, reason, entry.Current.Agent, entry.Service,
+          entry.Attempt};
+}
+
+RelayDecision FlowRouterImpl::forget(const FlowEnds &flow, RelayAction action,
+                                     RelayReason reason) {
+  Flows.erase(flow);
+  return {action, reason, {}, {}, 0};
+}
+
+FlowEntry &FlowRouterImpl::entryOf(const FlowEnds &flow, TimePoint now) {
+  const auto it = Flows.find(flow);
+  if (it != Flows.end())
+    return it->second;
+  if (Flows.size() >= Options.MaxFlows) {
+    // Any holder can be found again by a search, so forgetting costs hops only.
+    Flows.erase(std::min_element(Flows.begin(), Flows.end(),
+                                 [](const auto &a, const auto &b) {
+                                   return a.second.SeenAt < b.second.SeenAt;
+                                 }));
+  }
+  FlowEntry &entry = Flows[flow];
+  entry.SeenAt = now;
+  return entry;
+}
+
+RelayDecision FlowRouterImpl::onCallerPacket(const FlowPacket &packet,
+                                             const ServiceTable &table,
+                                             TimePoint now) {
+  const FlowEnds flow{packet.Source, packet.Destination};
+  if (table.routeCount() == 0)
+    return {RelayAction::Drop, RelayReason::NoTable, {}, {}, 0};
+  const RouteRecord *route = table.findRoute(packet.Destination);
+  if (route == nullptr)
+    return forget(flow, packet.Resets ? RelayAction::Drop : RelayAction::Reset,
+                  RelayReason::NoRoute);
+  if (packet.Opens)
+    return open(flow, *route, table, now);
+  FlowEntry &entry = entryOf(flow, now);
+  entry.SeenAt = now;
+  if (entry.Current.Agent.Port != 0 && !entry.Searching) {
+    // Two upstreams may have accepted copies of the first packet. The caller
+    // acknowledges the numbering of the one it has chosen.
+    const auto distance = [&](const Holder &it) {
+      return packet.Acknowledgement - it.FirstSequence;
+    };
+    if (packet.Acknowledges && entry.Other.Agent.Port != 0 &&
+        entry.Other.FirstSequence != 0 &&
+        distance(entry.Other) <= SequenceWindow &&
+        distance(entry.Current) > SequenceWindow)
+      std::swap(entry.Current, entry.Other);
+    return forward(entry, RelayReason::Held);
+  }
+  return search(entry, flow, *route, table, now);
+}
+
+RelayDecision FlowRouterImpl::open(const FlowEnds &flow,
+                                   const RouteRecord &route,
+                                   const ServiceTable &table, TimePoint now) {
+  FlowEntry &entry = entryOf(flow, now);
+  entry.SeenAt = now;
+  if (entry.Current.Agent.Port != 0) {
+    if (entry.Confirmed || now - entry.AskedAt < Options.AnswerTimeout)
+      return forward(entry, RelayReason::Held);
+    Agents[entry.Current.Agent].SilentUntil = now + Options.SilentPenalty;
+  }
+  entry.Attempt = 0;
+  return place(entry, flow, route, table, now);
+}
+
+const Service *FlowRouterImpl::chooseService(const FlowEnds &flow,
+                                             const RouteRecord &route,
+                                             const ServiceTable &table) const {
+  std::uint64_t total = 0;
+  for (const RouteShare &it : route.Shares)
+    total += it.Weight;
+  if (total == 0)
+    return nullptr;
+  std::uint64_t at = mix64(hashOf(flow) + 1) % total;
+  for (const RouteShare &it : route.Shares) {
+    if (at < it.Weight)
+      return table.find(it.Service);
+    at -= it.Weight;
+  }
+  return nullptr;
+}
+
+bool FlowRouterImpl::isOffered(const ServiceMember &member,
+                               TimePoint now) const {
+  if (member.State != CandidateState::Accepting)
+    return false;
+  const auto it = Agents.find(member.Address);
+  return it == Agents.end() ||
+         (now >= it->second.AvoidUntil && now >= it->second.SilentUntil);
+}
+
+double FlowRouterImpl::loadOf(const ServiceMember &member,
+                              DataCentreId home) const {
+  const double remote = member.DataCentre == home ? 0 : RemotePenalty;
+  const auto it = Agents.find(member.Address);
+  if (it == Agents.end())
+    return remote;
+  const AgentView &view = it->second;
+  const double work = view.Load.Busy + view.PlacedSince * (FlowLoad + 0.5) +
+                      view.Load.Flows * FlowLoad;
+  return remote + work / std::max<double>(view.Load.Slots, 1);
+}
+
+RelayDecision FlowRouterImpl::place(FlowEntry &entry, const FlowEnds &flow,
+                                    const RouteRecord &route,
+                                    const ServiceTable &table, TimePoint now) {
+  const Service *service = chooseService(flow, route, table);
+  if (service == nullptr)
+    return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
+  const DataCentreId home = table.findDataCentre(Options.DataCentre);
+  const auto bucket = static_cast<std::uint16_t>(hashOf(flow) >> 52);
+  // The least loaded of all is chosen; the ranking breaks ties, so that
+  // balancers with the same view spread their flows.
+  const ServiceMember *best = nullptr;
+  std::pair<double, std::uint64_t> bestKey;
+  for (const ServiceMember &it : service->members()) {
+    if (!isOffered(it, now))
+      continue;
+    const std::pair<double, std::uint64_t> key{loadOf(it, home),
+                                               rankWeight(bucket, it.Id)};
+    if (best == nullptr || key < bestKey) {
+      best = &it;
+      bestKey = key;
+    }
+  }
+  if (best == nullptr)
+    return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
+  if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
+    entry.Other = entry.Current;
+  entry.Current = {best->Address, 0};
+  entry.Service = tagOfService(service->name());
+  entry.Confirmed = false;
+  entry.Searching = false;
+  entry.AskedAt = now;
+  ++Agents[best->Address].PlacedSince;
+  return forward(entry, RelayReason::Placed);
+}
+
+std::vector<Candidate> FlowRouterImpl::candidates(const FlowEnds &flow,
+                                                  const RouteRecord &route,
+                                                  const ServiceTable &table,
+                                                  TimePoint now) const {
+  const DataCentreId home = table.findDataCentre(Options.DataCentre);
+  const auto bucket = static_cast<std::uint16_t>(hashOf(flow) >> 52);
+  std::vector<Candidate> all;
+  std::vector<ServiceId> services;
+  for (const RouteShare &it : route.Shares)
+    services.push_back(it.Service);
+  services.insert(services.end(), route.Former.begin(), route.Former.end());
+  const auto isSilent = [&](const ServiceMember &it) {
+    const auto view = Agents.find(it.Address);
+    return it.State == CandidateState::Suspect ||
+           (view != Agents.end() && now < view->second.SilentUntil);
+  };
+  for (const ServiceId id : services) {
+    const Service *service = table.find(id);
+    if (service == nullptr)
+      continue;
+    const ServiceTag tag = tagOfService(service->name());
+    const std::size_t begin = all.size();
+    for (const ServiceMember &it : service->members())
+      all.push_back({&it, tag});
+    for (const ServiceMember &it : table.withdrawn(id))
+      all.push_back({&it, tag});
+    std::sort(all.begin() + static_cast<std::ptrdiff_t>(begin), all.end(),
+              [&](const Candidate &a, const Candidate &b) {
+                const auto key = [&](const ServiceMember &it) {
+                  return std::tuple(it.DataCentre != home,
+                                    rankWeight(bucket, it.Id));
+                };
+                return key(*a.Member) < key(*b.Member);
+              });
+  }
+  std::stable_partition(all.begin(), all.end(), [&](const Candidate &it) {
+    return !isSilent(*it.Member);
+  });
+  return all;
+}
+
+RelayDecision FlowRouterImpl::search(FlowEntry &entry, const FlowEnds &flow,
+                                     const RouteRecord &route,
+                                     const ServiceTable &table, TimePoint now) {
+  if (!entry.Searching) {
+    entry.Searching = true;
+    entry.Skipped = false;
+    entry.Attempt = 0;
+    entry.AskedAt = now;
+  } else if (now - entry.AskedAt >= Options.AnswerTimeout) {
+    Agents[entry.Current.Agent].SilentUntil = now + Options.SilentPenalty;
+    entry.Skipped = true;
+    ++entry.Attempt;
+    entry.AskedAt = now;
+  }
+  const std::vector<Candidate> all = candidates(flow, route, table, now);
+  if (entry.Attempt >= all.size() || entry.Attempt >= MaxAttempts) {
+    return entry.Skipped
+               ? forget(flow, RelayAction::Drop, RelayReason::Unanswered)
+               : forget(flow, RelayAction::Reset, RelayReason::Unknown);
+  }
+  const Candidate &next = all[entry.Attempt];
+  entry.Current = {next.Member->Address, 0};
+  entry.Service = next.Service;
+  entry.Confirmed = false;
+  return forward(entry, RelayReason::Search);
+}
+
+RelayDecision FlowRouterImpl::onReturned(const FlowPacket &packet,
+                                         const ReturnedPacket &message,
+                                         const Endpoint &agent,
+                                         const ServiceTable &table,
+                                         TimePoint now) {
+  const FlowEnds flow{packet.Source, packet.Destination};
+  AgentView &view = Agents[agent];
+  view.SilentUntil = {};
+  view.Load = message.Load;
+  view.PlacedSince = 0;
+  const RouteRecord *route = table.findRoute(packet.Destination);
+  if (route == nullptr)
+    return forget(flow, RelayAction::Drop, RelayReason::NoRoute);
+  if (message.Attempt >= MaxAttempts)
+    return {RelayAction::Drop, RelayReason::Unknown, {}, {}, 0};
+  FlowEntry &entry = entryOf(flow, now);
+  const auto visits = static_cast<std::uint8_t>(message.Attempt + 1);
+  const bool isCurrent = entry.Current.Agent == agent;
+  if (entry.Current.Agent.Port != 0 && !isCurrent) {
+    // The flow was placed or found elsewhere meanwhile.
+    RelayDecision decision = forward(entry, RelayReason::Held);
+    decision.Attempt = visits;
+    return decision;
+  }
+  if (packet.Opens) {
+    view.AvoidUntil = now + Duration(message.RetryAfterMs);
+    entry.Attempt = visits;
+    entry.Current = {};
+    return place(entry, flow, *route, table, now);
+  }
+  if (entry.Other.Agent.Port != 0 && !entry.Searching) {
+    entry.Current = std::exchange(entry.Other, {});
+    RelayDecision decision = forward(entry, RelayReason::Held);
+    decision.Attempt = visits;
+    return decision;
+  }
+  if (entry.Searching) {
+    ++entry.Attempt;
+    entry.AskedAt = now;
+  }
+  const RelayDecision decision = search(entry, flow, *route, table, now);
+  // A reset answers what a caller still waits for, not its own reset.
+  if (decision.Action == RelayAction::Reset && packet.Resets)
+    return {RelayAction::Drop, decision.Reason, {}, {}, 0};
+  return decision;
+}
+
+void FlowRouterImpl::onHeld(const FlowHeld &message, const Endpoint &agent,
+                            TimePoint now) {
+  AgentView &view = Agents[agent];
+  view.Load = message.Load;
+  view.PlacedSince = 0;
+  view.SilentUntil = {};
+  FlowEntry &entry = entryOf({message.Caller, message.Service}, now);
+  const Holder holder{agent, message.FirstSequence};
+  if (entry.Confirmed && entry.Current.Agent != agent) {
+    entry.Other = holder;
+    return;
+  }
+  entry.Current = holder;
+  entry.Confirmed = true;
+  entry.Searching = false;
+  entry.Attempt = 0;
+}
+
+void FlowRouterImpl::tick(TimePoint now) {
+  constexpr Duration SweepInterval{5000};
+  if (now - LastSweep < SweepInterval)
+    return;
+  LastSweep = now;
+  absl::erase_if(Flows, [&](const auto &it) {
+    return now - it.second.SeenAt >= Options.FlowIdle;
+  });
+}
+
+} // namespace
+
+std::unique_ptr<FlowRouter> makeFlowRouter(FlowRouterOptions options) {
+  return std::make_unique<FlowRouterImpl>(std::move(options));
+}
+
+ServiceTag tagOfService(std::string_view name) {
+  return {checksum32(std::as_bytes(std::span(name)))};
+}
+
+std::string toString(const FlowEnds &flow) {
+  return concat(toString(flow.Caller), ">", toString(flow.Service));
+}
+
+std::string_view nameOf(RelayReason reason) {
+  switch (reason) {
+  case RelayReason::Held:
+    return "held";
+  case RelayReason::Placed:
+    return "placed";
+  case RelayReason::Search:
+    return "search";
+  case RelayReason::NoRoute:
+    return "no-route";
+  case RelayReason::NoTable:
+    return "no-table";
+  case RelayReason::NoUpstream:
+    return "no-upstream";
+  case RelayReason::Unknown:
+    return "unknown-flow";
+  case RelayReason::Unanswered:
+    return "unanswered";
+  }
+  return "other";
+}
+
+} // namespace pistachio
--- a/Source/Core/Routing/Routing.h
+++ b/Source/Core/Routing/Routing.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pistachio {
@@ -32,6 +33,7 @@
   Incarnation Run;
   Endpoint Address;
   CandidateState State = CandidateState::Accepting;
+  DataCentreId DataCentre{};
 };
 
 /// The members of one service, immutable once built. The ranking of a bucket
@@ -95,6 +97,13 @@
   virtual Revision revision() const = 0;
   virtual const Service *findByAddress(const Endpoint &address) const = 0;
   virtual const Service *find(ServiceId id) const = 0;
+  virtual const RouteRecord *findRoute(const Endpoint &address) const = 0;
+  virtual std::size_t routeCount() const = 0;
+  /// Members of a service whose data centre is out. They take no new flow and
+  /// may hold open ones.
+  virtual std::span<const ServiceMember> withdrawn(ServiceId id) const = 0;
+  /// An id of 0 if the name is not known.
+  virtual DataCentreId findDataCentre(std::string_view name) const = 0;
   virtual std::span<const BalancerRecord> balancers() const = 0;
   virtual std::size_t serviceCount() const = 0;
   virtual std::size_t upstreamCount() const = 0;
--- a/Source/Core/Routing/TableFollower.cpp
+++ b/Source/Core/Routing/TableFollower.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using ServicePtr = std::shared_ptr<const Service>;
+using RoutePtr = std::shared_ptr<const RouteRecord>;
 
 /// A new table copies the shard pointers and one shard, so both are kept near
 /// the square root of the number of services at the target scale.
@@ -27,9 +28,11 @@
 std::uint64_t keyOf(ServiceId id) { return id.Value; }
 
 /// An immutable map in shards. A change copies the shards that it touches.
-template <typename Key> class ShardedMap {
+template <typename Key, typename Value> class ShardedMap {
 public:
-  const Service *find(const Key &key) const {
+  using Pointer = std::shared_ptr<const Value>;
+
+  const Value *find(const Key &key) const {
     const auto &shard = Shards[shardOf(keyOf(key))];
     if (!shard)
       return nullptr;
@@ -37,7 +40,7 @@
     return it == shard->end() ? nullptr : it->second.get();
   }
 
-  ServicePtr share(const Key &key) const {
+  Pointer share(const Key &key) const {
     const auto &shard = Shards[shardOf(keyOf(key))];
     if (!shard)
       return nullptr;
@@ -65,21 +68,23 @@
   }
 
 private:
-  using Shard = absl::flat_hash_map<Key, ServicePtr, std::hash<Key>>;
-  template <typename> friend class ShardedMapEditor;
+  using Shard = absl::flat_hash_map<Key, Pointer, std::hash<Key>>;
+  template <typename, typename> friend class ShardedMapEditor;
   std::array<std::shared_ptr<const Shard>, ShardCount> Shards;
 };
 
 /// Edits a map that no reader has seen yet. Shards are copied once.
-template <typename Key> class ShardedMapEditor {
+template <typename Key, typename Value> class ShardedMapEditor {
 public:
-  explicit ShardedMapEditor(ShardedMap<Key> &map) : Map(map) {}
+  explicit ShardedMapEditor(ShardedMap<Key, Value> &map) : Map(map) {}
 
-  void set(const Key &key, const ServicePtr &value) { shard(key)[key] = value; }
+  void set(const Key &key, const std::shared_ptr<const Value> &value) {
+    shard(key)[key] = value;
+  }
   void erase(const Key &key) { shard(key).erase(key); }
 
 private:
-  using Shard = typename ShardedMap<Key>::Shard;
+  using Shard = typename ShardedMap<Key, Value>::Shard;
 
   Shard &shard(const Key &key) {
     const std::size_t n = shardOf(keyOf(key));
@@ -93,11 +98,12 @@
     return *own;
   }
 
-  ShardedMap<Key> &Map;
+  ShardedMap<Key, Value> &Map;
   std::array<Shard *, ShardCount> Own{};
 };
 
 using BalancerList = std::vector<BalancerRecord>;
+using WithdrawnMap = std::map<ServiceId, std::vector<ServiceMember>>;
 
 class Snapshot final : public ServiceTable {
 public:
@@ -106,6 +112,19 @@
     return ByAddress.find(address);
   }
   const Service *find(ServiceId id) const override { return ById.find(id); }
+  const RouteRecord *findRoute(const Endpoint &address) const override {
+    return Routes.find(address);
+  }
+  std::size_t routeCount() const override { return RouteCount; }
+  std::span<const ServiceMember> withdrawn(ServiceId id) const override {
+    const auto it = Withdrawn->find(id);
+    return it == Withdrawn->end() ? std::span<const ServiceMember>{}
+                                  : std::span(it->second);
+  }
+  DataCentreId findDataCentre(std::string_view name) const override {
+    const auto it = DataCentres.find(name);
+    return it == DataCentres.end() ? DataCentreId{} : it->second;
+  }
   std::span<const BalancerRecord> balancers() const override {
     return *Balancers;
   }
@@ -120,8 +139,14 @@
   }
 
   Revision At;
-  ShardedMap<ServiceId> ById;
-  ShardedMap<Endpoint> ByAddress;
+  ShardedMap<ServiceId, Service> ById;
+  ShardedMap<Endpoint, Service> ByAddress;
+  ShardedMap<Endpoint, RouteRecord> Routes;
+  std::size_t RouteCount = 0;
+  /// Services without such members have no entry.
+  std::shared_ptr<const WithdrawnMap> Withdrawn =
+      std::make_shared<WithdrawnMap>();
+  std::map<std::string, DataCentreId, std::less<>> DataCentres;
   std::shared_ptr<const BalancerList> Balancers =
       std::make_shared<BalancerList>();
   std::size_t Services = 0;
@@ -182,7 +207,10 @@
   void setDataCentre(const DataCentreRecord &record);
   void touchDataCentre(DataCentreId id);
   void publish(Revision to);
-  std::vector<ServiceMember> membersOf(const ServiceEntry &service) const;
+  std::vector<ServiceMember> membersOf(const ServiceEntry &service,
+                                       bool withdrawn) const;
+  void publishWithdrawn(Snapshot &next) const;
+  void publishRoutes(Snapshot &next);
 
   std::shared_ptr<const Snapshot> Table = std::make_shared<Snapshot>();
 
@@ -195,8 +223,12 @@
   absl::flat_hash_map<UpstreamId, UpstreamEntry, std::hash<UpstreamId>>
       Upstreams;
   absl::flat_hash_map<DataCentreId, bool, std::hash<DataCentreId>> IsOut;
+  std::map<DataCentreId, std::string> DataCentreNames;
   std::map<std::string, BalancerRecord> Balancers;
+  std::map<Endpoint, RoutePtr> Routes;
 
+  /// Routes that changed since the last publication.
+  std::vector<Endpoint> TouchedRoutes;
   /// Services whose object has to be built again.
   absl::flat_hash_set<ServiceId, std::hash<ServiceId>> Touched;
   bool AreBalancersTouched = false;
@@ -208,6 +240,10 @@
   Services.clear();
   Upstreams.clear();
   IsOut.clear();
+  DataCentreNames.clear();
+  for (const auto &[address, route] : Routes)
+    TouchedRoutes.push_back(address);
+  Routes.clear();
   Balancers.clear();
   AreBalancersTouched = true;
 }
@@ -227,11 +263,11 @@
   if (it != Upstreams.end() && it->second.Service != record.Service)
     removeUpstream(record.Id);
   const auto [entry, isNew] = Upstreams.try_emplace(record.Id);
-  entry->second = {
-      record.Service,
-      record.DataCentre,
-      record.State,
-      {record.Id, record.Run, record.Address, toCandidateState(record.State)}};
+  entry->second = {record.Service,
+                   record.DataCentre,
+                   record.State,
+                   {record.Id, record.Run, record.Address,
+                    toCandidateState(record.State), record.DataCentre}};
   if (isNew)
     Services[record.Service].Upstreams.push_back(record.Id);
   Touched.insert(record.Service);
@@ -249,6 +285,7 @@
   if (isOut != record.Out)
     touchDataCentre(record.Id);
   isOut = record.Out;
+  DataCentreNames[record.Id] = record.Name;
 }
 
 void TableFollower::State::applyPart(const TableUpdate &update) {
@@ -263,6 +300,15 @@
   for (const DataCentreId it : update.RemovedDataCentres) {
     setDataCentre({it, "", false});
     IsOut.erase(it);
+    DataCentreNames.erase(it);
+  }
+  for (const Endpoint &it : update.RemovedRoutes) {
+    Routes.erase(it);
+    TouchedRoutes.push_back(it);
+  }
+  for (const RouteRecord &it : update.Routes) {
+    Routes[it.Address] = std::make_shared<RouteRecord>(it);
+    TouchedRoutes.push_back(it.Address);
   }
   for (const std::string &it : update.RemovedBalancers)
     Balancers.erase(it);
@@ -281,24 +327,61 @@
 }
 
 std::vector<ServiceMember>
-TableFollower::State::membersOf(const ServiceEntry &service) const {
+TableFollower::State::membersOf(const ServiceEntry &service,
+                                bool withdrawn) const {
   std::vector<ServiceMember> out;
   out.reserve(service.Upstreams.size());
   for (const UpstreamId id : service.Upstreams) {
     const UpstreamEntry &it = Upstreams.at(id);
     const auto dataCentre = IsOut.find(it.DataCentre);
-    if (dataCentre == IsOut.end() || !dataCentre->second)
+    const bool isOut = dataCentre != IsOut.end() && dataCentre->second;
+    if (isOut == withdrawn)
       out.push_back(it.Member);
   }
   std::ranges::sort(out, {}, &ServiceMember::Id);
   return out;
 }
 
+void TableFollower::State::publishWithdrawn(Snapshot &next) const {
+  if (Touched.empty())
+    return;
+  auto map = std::make_shared<WithdrawnMap>(*next.Withdrawn);
+  for (const ServiceId id : Touched) {
+    const auto it = Services.find(id);
+    std::vector<ServiceMember> members;
+    if (it != Services.end())
+      members = membersOf(it->second, true);
+    if (members.empty())
+      map->erase(id);
+    else
+      (*map)[id] = std::move(members);
+  }
+  next.Withdrawn = std::move(map);
+}
+
+void TableFollower::State::publishRoutes(Snapshot &next) {
+  next.DataCentres.clear();
+  for (const auto &[id, name] : DataCentreNames)
+    next.DataCentres[name] = id;
+  ShardedMapEditor<Endpoint, RouteRecord> routes(next.Routes);
+  for (const Endpoint &address : TouchedRoutes) {
+    const auto it = Routes.find(address);
+    if (it == Routes.end())
+      routes.erase(address);
+    else
+      routes.set(address, it->second);
+  }
+  next.RouteCount = Routes.size();
+  TouchedRoutes.clear();
+}
+
 void TableFollower::State::publish(Revision to) {
   auto next = std::make_shared<Snapshot>(*Table);
   next->At = to;
-  ShardedMapEditor<ServiceId> byId(next->ById);
-  ShardedMapEditor<Endpoint> byAddress(next->ByAddress);
+  publishWithdrawn(*next);
+  publishRoutes(*next);
+  ShardedMapEditor<ServiceId, Service> byId(next->ById);
+  ShardedMapEditor<Endpoint, Service> byAddress(next->ByAddress);
 
   // Addresses may move from one service to another within one update, so all
   // former ones are erased before the first is set.
@@ -310,7 +393,8 @@
     if (former) {
       --next->Services;
       next->Upstreams -= former->members().size();
-      byAddress.erase(former->address());
+      if (former->address().Port != 0)
+        byAddress.erase(former->address());
     }
     if (!exists) {
       if (former)
@@ -320,7 +404,7 @@
       continue;
     }
     const ServiceRecord &record = it->second.Record;
-    std::vector<ServiceMember> members = membersOf(it->second);
+    std::vector<ServiceMember> members = membersOf(it->second, false);
     if (!former) {
       built.push_back(std::make_shared<Service>(id, record.Name, record.Address,
                                                 std::move(members), to));
@@ -336,7 +420,9 @@
   for (const ServicePtr &it : built) {
     ++next->Services;
     next->Upstreams += it->members().size();
-    byAddress.set(it->address(), it);
+    // Services that are reached by routes only have no address.
+    if (it->address().Port != 0)
+      byAddress.set(it->address(), it);
     byId.set(it->id(), it);
   }
   Touched.clear();
--- a/Source/Core/Rules/RuleKind.cpp
+++ b/Source/Core/Rules/RuleKind.cpp
@@ -195,6 +195,28 @@
   return {};
 }
 
+bool LineReader::optionalKeyword(std::string_view word) {
+  if (!Good || Next >= Words.size() || Words[Next].Text != word)
+    return false;
+  ++Next;
+  return true;
+}
+
+double LineReader::decimal(std::string_view what, double max) {
+  const std::string_view text = next(what);
+  if (!Good)
+    return 0;
+  double value = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(),
+                                      value, std::chars_format::fixed);
+  if (result.ec == std::errc() && result.ptr == text.data() + text.size() &&
+      std::isfinite(value) && value >= 0 && value <= max)
+    return value;
+  fail(concat(what, " '", text, "' is not a number from 0 to ",
+              std::to_string(static_cast<std::uint64_t>(max))));
+  return 0;
+}
+
 double LineReader::percentage(std::string_view what) {
   const std::string_view text = next(what);
   if (!Good)
--- a/Source/Core/Rules/RuleKind.h
+++ b/Source/Core/Rules/RuleKind.h
@@ -59,6 +59,7 @@
   RuleSet &rules() { return Rules; }
   void addLine(RuleLine line) { Rules.Lines.push_back(std::move(line)); }
   std::vector<ServiceRule> &services() { return Rules.Services; }
+  std::vector<RouteRule> &routes() { return Rules.Routes; }
   std::vector<LimitRule> &limits() { return Rules.Limits; }
   std::vector<ObjectiveRule> &objectives() { return Rules.Objectives; }
   std::vector<TeamRule> &teams() { return Rules.Teams; }
@@ -102,6 +103,8 @@
 
   /// The given word.
   void keyword(std::string_view word);
+  /// Consumes the next word if it is the given one.
+  bool optionalKeyword(std::string_view word);
   /// Lower-case letters, digits and hyphens, at most 63, from a letter on.
   std::string name(std::string_view what);
   /// Names separated by commas.
@@ -109,6 +112,8 @@
   std::uint32_t number(std::string_view what, std::uint32_t min,
                        std::uint32_t max);
   Endpoint endpoint();
+  /// A decimal number of at least 0 and at most \p max.
+  double decimal(std::string_view what, double max);
   /// Between 0 and 100, without these.
   double percentage(std::string_view what);
   /// "30d".
--- a/Source/Core/Rules/Rules.cpp
+++ b/Source/Core/Rules/Rules.cpp
@@ -257,6 +257,48 @@
   return checked(std::move(result));
 }
 
+std::string replaceRules(const RuleSet &rules,
+                         std::span<const std::string_view> kinds,
+                         std::string_view lines) {
+  std::set<std::uint32_t> dropped;
+  for (const RuleLine &it : rules.lines())
+    if (std::ranges::find(kinds, it.Kind) != kinds.end())
+      dropped.insert(it.Line);
+  std::string text;
+  forEachLine(rules.text(), [&](std::string_view it, std::uint32_t number) {
+    if (!dropped.contains(number))
+      text += concat(it, "\n");
+  });
+  return text + std::string(lines);
+}
+
+std::string formatRouting(std::span<const ServiceRule> services,
+                          std::span<const RouteRule> routes,
+                          std::string_view askedBy) {
+  std::string text;
+  const std::string comment = concat(" # ", AskedByPrefix, askedBy, "\n");
+  for (const ServiceRule &it : services) {
+    text += concat("service ", it.Name);
+    if (it.Address.Port != 0)
+      text += concat(" address ", toString(it.Address));
+    text += concat(" slots ", std::to_string(it.Slots));
+    if (it.ColdPerSecond)
+      text += concat(" cold-rate ", std::to_string(*it.ColdPerSecond));
+    text += comment;
+  }
+  for (const RouteRule &it : routes) {
+    text += concat("route ", it.Name, " address ", toString(it.Address));
+    std::string_view before = " to ";
+    for (const RouteTarget &target : it.Targets) {
+      text += concat(before, target.Service, " weight ",
+                     std::to_string(target.Weight));
+      before = " and ";
+    }
+    text += comment;
+  }
+  return text;
+}
+
 absl::Status checkTeamMayApply(std::string_view team, const RuleSet &before,
                                std::span<const RuleChange> changes) {
   if (team == OperatorsTeam)
--- a/Source/Core/Rules/Rules.h
+++ b/Source/Core/Rules/Rules.h
@@ -22,7 +22,8 @@
 struct RuleLine {
   /// From 1; 0 for a line that was not read from a file.
   std::uint32_t Line = 0;
-  /// First word: service, limit, objective, team, datacentre, out, drain.
+  /// First word: service, route, limit, objective, team, datacentre, out,
+  /// drain.
   std::string Kind;
   /// The rule without its comment, words separated by one blank.
   std::string Text;
@@ -34,9 +35,25 @@
 
 struct ServiceRule {
   std::string Name;
+  /// Port 0 if the service is reached by routes only.
   Endpoint Address;
   /// Requests that one upstream runs at the same time.
   std::uint32_t Slots = 1;
+  /// Requests that an upstream in a cold start bears, per second; no bound if
+  /// absent.
+  std::optional<double> ColdPerSecond;
+};
+
+struct RouteTarget {
+  std::string Service;
+  std::uint32_t Weight = 1;
+};
+
+/// Flows to an address, split between services by weight.
+struct RouteRule {
+  std::string Name;
+  Endpoint Address;
+  std::vector<RouteTarget> Targets;
 };
 
 struct LimitRule {
@@ -70,6 +87,7 @@
 
   std::span<const RuleLine> lines() const { return Lines; }
   std::span<const ServiceRule> services() const { return Services; }
+  std::span<const RouteRule> routes() const { return Routes; }
   std::span<const LimitRule> limits() const { return Limits; }
   std::span<const ObjectiveRule> objectives() const { return Objectives; }
   std::span<const TeamRule> teams() const { return Teams; }
@@ -87,6 +105,7 @@
   std::string Text;
   std::vector<RuleLine> Lines;
   std::vector<ServiceRule> Services;
+  std::vector<RouteRule> Routes;
   std::vector<LimitRule> Limits;
   std::vector<ObjectiveRule> Objectives;
   std::vector<TeamRule> Teams;
@@ -117,6 +136,17 @@
 absl::StatusOr<std::string> removeRule(const RuleSet &rules,
                                        std::string_view rule);
 
+/// The rules text without the lines of \p kinds, followed by \p lines. Comments
+/// and empty lines stay. The result is not checked.
+std::string replaceRules(const RuleSet &rules,
+                         std::span<const std::string_view> kinds,
+                         std::string_view lines);
+
+/// The lines of services and routes, each ended by a line feed.
+std::string formatRouting(std::span<const ServiceRule> services,
+                          std::span<const RouteRule> routes,
+                          std::string_view askedBy);
+
 /// PermissionDenied if \p team may not make all of \p changes. The team
 /// "operators" may make any; other teams may change service, limit and
 /// objective lines of their own services.
--- /dev/null
+++ b/Source/Core/Runtime/HttpServer.cpp
@@ -0,0 +1,204 @@
+#include "Runtime/AsioEndpoint.h"
+#include "Runtime/Runtime.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <set>
+
+namespace pistachio {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
+constexpr std::uint64_t MaxHttpBodyBytes = 1024 * 1024;
+/// For one request and its answer, and between two requests of a connection.
+constexpr Duration RequestTimeout{15000};
+/// Above the callers of one instance; more would only hold descriptors.
+constexpr std::size_t MaxConnections = 256;
+/// Wait after a failed accept, for example without free descriptors.
+constexpr Duration AcceptRetryDelay{100};
+
+class Connection;
+
+struct ServerState {
+  ServerState(boost::asio::io_context &context, HttpHandler handler)
+      : Acceptor(context), AcceptTimer(context), Handler(std::move(handler)) {}
+
+  tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptTimer;
+  HttpHandler Handler;
+  Endpoint Local;
+  std::set<std::shared_ptr<Connection>> Connections;
+  bool Stopped = false;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(std::shared_ptr<ServerState> state, tcp::socket socket)
+      : State(std::move(state)), Socket(std::move(socket)),
+        Timer(Socket.get_executor()) {}
+
+  void readRequest() {
+    Parser.emplace();
+    Parser->body_limit(MaxHttpBodyBytes);
+    Parser->header_limit(MaxHeaderBytes);
+    ++Turn;
+    Timer.expires_after(RequestTimeout);
+    Timer.async_wait([self = shared_from_this(), turn = Turn](error_code ec) {
+      if (!ec && turn == self->Turn)
+        self->close();
+    });
+    http::async_read(Socket, Buffer, *Parser,
+                     [self = shared_from_this()](error_code ec, std::size_t) {
+                       self->onRead(ec);
+                     });
+  }
+
+  void close() {
+    ++Turn;
+    Timer.cancel();
+    error_code ec;
+    Socket.shutdown(tcp::socket::shutdown_both, ec);
+    Socket.close(ec);
+    State->Connections.erase(shared_from_this());
+  }
+
+private:
+  void onRead(error_code ec) {
+    if (State->Stopped || !Socket.is_open())
+      return;
+    if (ec == http::error::body_limit)
+      return write({413, "{\"error\":\"the body is too large\"}"}, false, Turn);
+    if (ec == http::error::end_of_stream ||
+        ec.category() !=
+            http::make_error_code(http::error::bad_version).category()) {
+      if (ec)
+        return close();
+    } else if (ec) {
+      return write({400, "{\"error\":\"the request is malformed\"}"}, false,
+                   Turn);
+    }
+    const auto &request = Parser->get();
+    const bool keepAlive = request.keep_alive();
+    const HttpCall call{
+        std::string(request.method_string().data(),
+                    request.method_string().size()),
+        std::string(request.target().data(), request.target().size()),
+        request.body()};
+    State->Handler(call, [self = shared_from_this(), keepAlive,
+                          turn = Turn](HttpReply reply) {
+      self->write(std::move(reply), keepAlive, turn);
+    });
+  }
+
+  void write(HttpReply reply, bool keepAlive, std::uint64_t turn) {
+    // The connection may have timed out, or an answer was given before.
+    if (turn != Turn || State->Stopped || !Socket.is_open())
+      return;
+    ++Turn;
+    Response = {};
+    Response.version(11);
+    Response.result(static_cast<unsigned>(reply.Status));
+    Response.set(http::field::content_type, reply.ContentType);
+    Response.keep_alive(keepAlive);
+    Response.body() = std::move(reply.Body);
+    Response.prepare_payload();
+    http::async_write(
+        Socket, Response,
+        [self = shared_from_this(), keepAlive](error_code ec, std::size_t) {
+          if (ec || !keepAlive || self->State->Stopped)
+            return self->close();
+          self->readRequest();
+        });
+  }
+
+  std::shared_ptr<ServerState> State;
+  tcp::socket Socket;
+  boost::asio::steady_timer Timer;
+  boost::beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  http::response<http::string_body> Response;
+  /// Grows with each request and answer; a late timer or answer names an
+  /// earlier one.
+  std::uint64_t Turn = 0;
+};
+
+void acceptNext(const std::shared_ptr<ServerState> &state) {
+  state->Acceptor.async_accept([state](error_code ec, tcp::socket socket) {
+    if (state->Stopped)
+      return;
+    if (ec) {
+      state->AcceptTimer.expires_after(AcceptRetryDelay);
+      state->AcceptTimer.async_wait([state](error_code waited) {
+        if (!waited && !state->Stopped)
+          acceptNext(state);
+      });
+      return;
+    }
+    if (state->Connections.size() < MaxConnections) {
+      auto connection = std::make_shared<Connection>(state, std::move(socket));
+      state->Connections.insert(connection);
+      connection->readRequest();
+    }
+    acceptNext(state);
+  });
+}
+
+class BeastHttpServer final : public HttpServer {
+public:
+  explicit BeastHttpServer(std::shared_ptr<ServerState> state)
+      : State(std::move(state)) {}
+  ~BeastHttpServer() override { BeastHttpServer::stop(); }
+  BeastHttpServer(const BeastHttpServer &) = delete;
+  BeastHttpServer &operator=(const BeastHttpServer &) = delete;
+
+  Endpoint endpoint() const override { return State->Local; }
+
+  void stop() override {
+    if (State->Stopped)
+      return;
+    State->Stopped = true;
+    error_code ec;
+    State->Acceptor.close(ec);
+    State->AcceptTimer.cancel();
+    const auto connections = std::exchange(State->Connections, {});
+    for (const auto &it : connections)
+      it->close();
+  }
+
+private:
+  std::shared_ptr<ServerState> State;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<HttpServer>>
+listenHttp(boost::asio::io_context &context, const Endpoint &local,
+           HttpHandler handler) {
+  auto state = std::make_shared<ServerState>(context, std::move(handler));
+  try {
+    const tcp::endpoint endpoint = toAsio<tcp>(local);
+    state->Acceptor.open(endpoint.protocol());
+    state->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    state->Acceptor.bind(endpoint);
+    state->Acceptor.listen(boost::asio::socket_base::max_listen_connections);
+    state->Local = fromAsio(state->Acceptor.local_endpoint());
+  } catch (const boost::system::system_error &e) {
+    return absl::UnavailableError(
+        absl::StrCat("cannot serve HTTP at ", toString(local), ": ", e.what()));
+  }
+  acceptNext(state);
+  return std::make_unique<BeastHttpServer>(std::move(state));
+}
+
+} // namespace pistachio
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -87,6 +87,8 @@
   virtual void send(std::span<const std::byte> frame) = 0;
   /// Closes the present connection and goes on to the next server.
   virtual void reconnect() = 0;
+  /// Used from the next connection on.
+  virtual void setServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
 
@@ -129,6 +131,48 @@
 std::unique_ptr<BackEndClient>
 makeBackEndClient(boost::asio::io_context &context, const Endpoint &backEnd);
 
+struct HttpCall {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+};
+
+struct HttpReply {
+  int Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+};
+
+/// \p reply may be called once, also later; without it the connection ends
+/// after its timeout.
+using HttpHandler =
+    std::function<void(const HttpCall &, std::function<void(HttpReply)> reply)>;
+
+/// HTTP/1.1 server for small bodies. A request that is malformed, too large or
+/// too slow is answered with 400, 413 or 408.
+class HttpServer {
+public:
+  virtual ~HttpServer() = default;
+  virtual Endpoint endpoint() const = 0;
+  virtual void stop() = 0;
+};
+
+absl::StatusOr<std::unique_ptr<HttpServer>>
+listenHttp(boost::asio::io_context &context, const Endpoint &local,
+           HttpHandler handler);
+
+/// Runs \p changed when the file was replaced or written, or the process got
+/// SIGHUP. The file is looked at every few seconds.
+class FileWatch {
+public:
+  virtual ~FileWatch() = default;
+  virtual void stop() = 0;
+};
+
+std::unique_ptr<FileWatch> watchFile(boost::asio::io_context &context,
+                                     std::string path,
+                                     std::function<void()> changed);
+
 /// Runs \p step every \p interval until stopped.
 class PeriodicTimer {
 public:
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -41,6 +41,10 @@
       Shared->Connection->close();
   }
 
+  void setServers(std::vector<Endpoint> servers) override {
+    Shared->Servers = std::move(servers);
+  }
+
   void stop() override {
     if (Shared->Stopped)
       return;
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -197,6 +197,92 @@
     }
   }
 
+  /// Leaves \p value as it is if the key is absent.
+  void decimal(std::string_view key, double max, double &value) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return;
+    const auto number = node->value<double>();
+    if (!number || !(*number >= 0 && *number <= max)) {
+      fail(key, concat("a number from 0 to ",
+                       std::to_string(static_cast<std::uint64_t>(max)),
+                       " is needed"));
+      return;
+    }
+    value = *number;
+  }
+
+  bool flag(std::string_view key) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return false;
+    const auto *value = node->as_boolean();
+    if (value == nullptr)
+      fail(key, "true or false is needed");
+    return value != nullptr && value->get();
+  }
+
+  std::vector<std::string> names(std::string_view key, std::size_t max) {
+    std::vector<std::string> items;
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return items;
+    const auto *array = node->as_array();
+    if (array == nullptr || array->size() > max) {
+      fail(key, concat("an array of at most ", std::to_string(max),
+                       " names is needed"));
+      return items;
+    }
+    for (const toml::node &it : *array) {
+      const auto *text = it.as_string();
+      if (text == nullptr || !isName(text->get()))
+        fail(it, key, "a name is needed");
+      else
+        items.push_back(text->get());
+    }
+    return items;
+  }
+
+  /// "requests" unless set.
+  FlowMode mode() {
+    if (!has("mode"))
+      return FlowMode::Requests;
+    const std::string text = string("mode");
+    if (text != "requests" && text != "relay")
+      fail("mode", "one of requests, relay is needed");
+    return text == "relay" ? FlowMode::Relay : FlowMode::Requests;
+  }
+
+  /// First port of the range; 0 if it is faulty.
+  std::uint16_t portRange() {
+    const toml::node *node = required("ports");
+    if (node == nullptr)
+      return 0;
+    const auto *array = node->as_array();
+    const auto portAt = [&](std::size_t i) {
+      return array->get(i)->value<std::int64_t>().value_or(0);
+    };
+    if (array == nullptr || array->size() != 2 || portAt(0) < 1 ||
+        portAt(1) > 0xFFFF || portAt(0) + PortOffset::Last > portAt(1)) {
+      fail("ports", concat("an array of the first and the last port is needed, "
+                           "at least ",
+                           std::to_string(PortOffset::Last + 1), " ports"));
+      return 0;
+    }
+    return static_cast<std::uint16_t>(portAt(0));
+  }
+
+  /// The hosts of "seeds", each with \p port.
+  std::vector<Endpoint> seeds(std::uint16_t port) {
+    std::vector<Endpoint> items;
+    for (Endpoint it : endpoints("seeds")) {
+      it.Port = port;
+      if (std::ranges::count(items, it) == 0)
+        items.push_back(it);
+    }
+    return items;
+  }
+
   bool has(std::string_view key) const { return Table.contains(key); }
 
   /// At the value of the key, or at the table if the key is absent.
@@ -309,6 +395,25 @@
                 concat("'", settings.Name, "', this instance, is not listed"));
 }
 
+/// The settings of an instance whose ports are those of a range and whose group
+/// is found by seeds.
+void readSeededControl(TableReader &reader, ControlSettings &settings) {
+  constexpr std::size_t MaxDataCentres = 1024;
+  settings.OperatorApi = reader.endpoint("operator_api", Binding::Exact);
+  const std::uint16_t port = reader.portRange();
+  settings.Nodes = settings.Peers = settings.OperatorApi;
+  settings.Nodes.Port =
+      static_cast<std::uint16_t>(port + PortOffset::ControlNodes);
+  settings.Peers.Port =
+      static_cast<std::uint16_t>(port + PortOffset::ControlPeers);
+  settings.Seeds = reader.seeds(settings.Peers.Port);
+  settings.FoundGroup = reader.flag("found_group");
+  settings.DataCentres = reader.names("data_centres", MaxDataCentres);
+  if (reader.has("metrics"))
+    settings.Metrics = reader.endpoint("metrics", Binding::AnyAddressOrPort);
+  settings.Log = reader.log();
+}
+
 std::string readSecret(TableReader &reader,
                        const std::filesystem::path &folder) {
   if (reader.has("secret") && reader.has("secret_file")) {
@@ -354,6 +459,12 @@
     reader.fail("credentials", "the key is missing");
 }
 
+/// The metrics endpoint; optional for nodes that carry opaque flows.
+void readMetrics(TableReader &reader, FlowMode mode, Endpoint &metrics) {
+  if (mode == FlowMode::Requests || reader.has("metrics"))
+    metrics = reader.endpoint("metrics", Binding::AnyAddressOrPort);
+}
+
 } // namespace
 
 std::optional<BalancerSettings> loadBalancerSettings(const std::string &path,
@@ -363,12 +474,22 @@
       path, findings, [](TableReader &reader, BalancerSettings &settings) {
         settings.Name = reader.label("name");
         settings.DataCentre = reader.name("data_centre");
+        settings.Mode = reader.mode();
         settings.Listen = reader.endpoint("listen", Binding::AnyPort);
-        settings.Metrics =
-            reader.endpoint("metrics", Binding::AnyAddressOrPort);
+        readMetrics(reader, settings.Mode, settings.Metrics);
         if (reader.has("health"))
           settings.Health = reader.endpoint("health", Binding::Exact);
-        settings.Control = reader.endpoints("control");
+        if (settings.Mode == FlowMode::Relay) {
+          const std::uint16_t port = reader.portRange();
+          settings.Inner = settings.Listen;
+          settings.Inner.Port =
+              static_cast<std::uint16_t>(port + PortOffset::BalancerData);
+          settings.Control = reader.seeds(
+              static_cast<std::uint16_t>(port + PortOffset::ControlNodes));
+          settings.Ready = reader.endpoint("ready", Binding::Exact);
+        } else {
+          settings.Control = reader.endpoints("control");
+        }
         reader.number("workers", 1, MaxWorkers, settings.Workers);
         settings.Log = reader.log();
       });
@@ -378,6 +499,8 @@
                                                Findings &findings) {
   constexpr std::uint32_t MaxSlots = 10'000;
   constexpr std::uint32_t MaxFlows = 1'000'000;
+  constexpr double MaxColdFactor = 1e6;
+  constexpr std::uint32_t MaxReportMs = 60'000;
   constexpr std::uint32_t MaxDrainSeconds = 7 * 24 * 3600;
   return load<AgentSettings>(
       path, findings, [](TableReader &reader, AgentSettings &settings) {
@@ -385,10 +508,21 @@
         settings.DataCentre = reader.name("data_centre");
         settings.Zone = reader.name("zone");
         settings.Machine = reader.label("machine");
+        settings.Mode = reader.mode();
         settings.Listen = reader.endpoint("listen", Binding::AnyPort);
-        settings.Metrics =
-            reader.endpoint("metrics", Binding::AnyAddressOrPort);
-        settings.Control = reader.endpoints("control");
+        readMetrics(reader, settings.Mode, settings.Metrics);
+        if (settings.Mode == FlowMode::Relay) {
+          settings.Control = reader.seeds(static_cast<std::uint16_t>(
+              reader.portRange() + PortOffset::ControlNodes));
+          settings.Outbound = reader.endpoint("outbound", Binding::Exact);
+          settings.Reports = reader.endpoint("reports", Binding::Exact);
+          reader.decimal("cold_overshoot", MaxColdFactor,
+                         settings.ColdOvershoot);
+          reader.decimal("cold_slack", MaxColdFactor, settings.ColdSlack);
+          reader.number("report_ms", 1, MaxReportMs, settings.ReportMs);
+        } else {
+          settings.Control = reader.endpoints("control");
+        }
         settings.BackEnd = reader.endpoint("back_end", Binding::Exact);
         reader.number("slots", 1, MaxSlots, settings.Slots);
         reader.number("max_flows", 1, MaxFlows, settings.MaxFlows);
@@ -408,7 +542,12 @@
       path, findings, [&path](TableReader &reader, ControlSettings &settings) {
         settings.Name = reader.label("name");
         settings.DataCentre = reader.name("data_centre");
-        settings.DataFolder = reader.string("data_folder");
+        // An instance that is found by seeds may be a relay without a disk.
+        const bool hasSeeds = reader.has("seeds");
+        if (!hasSeeds || reader.has("data_folder"))
+          settings.DataFolder = reader.string("data_folder");
+        if (hasSeeds)
+          return readSeededControl(reader, settings);
         settings.Nodes = reader.endpoint("nodes", Binding::AnyAddressOrPort);
         settings.Peers = reader.endpoint("peers", Binding::Exact);
         settings.Admin = DefaultAdminEndpoint;
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -20,9 +20,31 @@
   std::string Level = "info";
 };
 
+/// How balancers and agents treat what flows carry.
+enum class FlowMode : std::uint8_t {
+  /// The caller protocol of this project, with requests that agents run.
+  Requests,
+  /// Packets of callers and upstreams are opaque and passed on unchanged.
+  Relay
+};
+
+/// Where the processes of one instance listen for each other, as offsets in a
+/// range of ports that is the same on all instances.
+namespace PortOffset {
+inline constexpr std::uint16_t BalancerData = 0;
+inline constexpr std::uint16_t ControlNodes = 1;
+inline constexpr std::uint16_t ControlPeers = 2;
+inline constexpr std::uint16_t Last = ControlPeers;
+} // namespace PortOffset
+
 struct BalancerSettings {
   std::string Name;
   std::string DataCentre;
+  FlowMode Mode = FlowMode::Requests;
+  /// Mode Relay: where agents send datagrams.
+  Endpoint Inner;
+  /// Mode Relay: HTTP endpoint that the fabric asks for readiness.
+  Endpoint Ready;
   /// Where the fabric and other processes send datagrams.
   Endpoint Listen;
   /// Prometheus endpoint.
@@ -37,6 +59,17 @@
 };
 
 struct AgentSettings {
+  FlowMode Mode = FlowMode::Requests;
+  /// Mode Relay: where the upstream sends its packets.
+  Endpoint Outbound;
+  /// Mode Relay: HTTP endpoint for the reports of the upstream.
+  Endpoint Reports;
+  /// Mode Relay: the bound of first packets in a cold start, see
+  /// UpstreamGateOptions.
+  double ColdOvershoot = 1.5;
+  double ColdSlack = 5;
+  /// Mode Relay: interval of the reports.
+  std::uint32_t ReportMs = 1000;
   std::string Service;
   std::string DataCentre;
   std::string Zone;
@@ -72,7 +105,8 @@
 struct ControlSettings {
   std::string Name;
   std::string DataCentre;
-  /// Folder of the replicated log.
+  /// Folder of the replicated log. Without one the instance is a relay: it
+  /// follows the log and does not vote.
   std::string DataFolder;
   /// TCP endpoint for nodes and agents.
   Endpoint Nodes;
@@ -84,6 +118,15 @@
   /// All members of the group, this one included. Only this one if the file
   /// names none.
   std::vector<MemberSettings> Members;
+  /// Other control instances that may know the group, as endpoints of their
+  /// logs.
+  std::vector<Endpoint> Seeds;
+  /// The first start of a deployment: the lowest of the seeds makes the group.
+  bool FoundGroup = false;
+  /// Declared in the rules where they are not.
+  std::vector<std::string> DataCentres;
+  /// HTTP endpoint for the orders of an operator's system; optional.
+  Endpoint OperatorApi;
   std::vector<CredentialSettings> Credentials;
   std::uint32_t LeaseMs = 3000;
   LogSettings Log;
--- a/Source/Core/Wire/ConsensusMessages.cpp
+++ b/Source/Core/Wire/ConsensusMessages.cpp
@@ -73,11 +73,13 @@
 template <typename Archive> void fields(Archive &archive, JoinRequest &it) {
   field(archive, it.From);
   field(archive, it.Address);
+  field(archive, it.MayVote);
 }
 
 template <typename Archive> void fields(Archive &archive, JoinReply &it) {
   field(archive, it.Accepted);
   field(archive, it.Leader);
+  field(archive, it.Found);
 }
 
 absl::StatusOr<ConsensusMessage>
--- a/Source/Core/Wire/ConsensusMessages.h
+++ b/Source/Core/Wire/ConsensusMessages.h
@@ -110,6 +110,8 @@
 struct JoinRequest {
   MemberId From;
   Endpoint Address;
+  /// Has a disk, and may become a voter.
+  bool MayVote = true;
   friend bool operator==(const JoinRequest &, const JoinRequest &) = default;
 };
 
@@ -117,6 +119,8 @@
   bool Accepted = false;
   /// Where to ask instead; port 0 if the leader is unknown.
   Endpoint Leader;
+  /// There is no group yet, and the receiver is the one that makes it.
+  bool Found = false;
   friend bool operator==(const JoinReply &, const JoinReply &) = default;
 };
 
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -83,6 +83,33 @@
   field(archive, it.Have);
 }
 
+template <typename Archive> void fields(Archive &archive, RelayedPacket &it) {
+  field(archive, it.Service);
+  field(archive, it.Attempt);
+  bytes(archive, it.Packet, MaxOpaquePacketBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, UpstreamLoad &it) {
+  field(archive, it.Busy);
+  field(archive, it.Flows);
+  field(archive, it.Slots);
+}
+
+template <typename Archive> void fields(Archive &archive, ReturnedPacket &it) {
+  field(archive, it.Reason);
+  field(archive, it.Attempt);
+  field(archive, it.RetryAfterMs);
+  fields(archive, it.Load);
+  bytes(archive, it.Packet, MaxOpaquePacketBytes);
+}
+
+template <typename Archive> void fields(Archive &archive, FlowHeld &it) {
+  field(archive, it.Caller);
+  field(archive, it.Service);
+  field(archive, it.FirstSequence);
+  fields(archive, it.Load);
+}
+
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf) {
   return decodeVariant<DataMessage>(buf, FirstDataType, MaxDatagramBytes);
 }
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -180,9 +180,67 @@
                          const PeerLeaseAnswer &) = default;
 };
 
+/// Largest opaque packet: 1200 bytes of data and a header.
+inline constexpr std::size_t MaxOpaquePacketBytes = 1300;
+
+/// Identifies a service by its name, also to an agent that has not heard from
+/// control yet.
+using ServiceTag = StrongId<struct ServiceTagTag, std::uint32_t>;
+
+/// Balancer to agent: a packet of a flow, as its sender wrote it.
+struct RelayedPacket {
+  ServiceTag Service;
+  /// Agents that the packet has visited before.
+  std::uint8_t Attempt = 0;
+  Bytes Packet;
+  friend bool operator==(const RelayedPacket &,
+                         const RelayedPacket &) = default;
+};
+
+enum class ReturnReason : std::uint8_t {
+  /// The upstream does not hold the flow.
+  NotHeld,
+  /// The upstream takes no new flow now.
+  Declined,
+  Max = Declined
+};
+
+/// Work of an upstream as its agent sees it.
+struct UpstreamLoad {
+  /// Flows with a request that is not answered yet.
+  std::uint16_t Busy = 0;
+  std::uint16_t Flows = 0;
+  std::uint16_t Slots = 0;
+  friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
+};
+
+/// Agent to balancer: the packet goes to another upstream.
+struct ReturnedPacket {
+  ReturnReason Reason = ReturnReason::NotHeld;
+  std::uint8_t Attempt = 0;
+  /// Declined only: new flows are not worth offering for this long.
+  std::uint16_t RetryAfterMs = 0;
+  UpstreamLoad Load;
+  Bytes Packet;
+  friend bool operator==(const ReturnedPacket &,
+                         const ReturnedPacket &) = default;
+};
+
+/// Agent to balancer: the upstream beside the agent has accepted or holds the
+/// flow.
+struct FlowHeld {
+  Endpoint Caller;
+  Endpoint Service;
+  /// First sequence number of the upstream; 0 if the agent did not see it.
+  std::uint32_t FirstSequence = 0;
+  UpstreamLoad Load;
+  friend bool operator==(const FlowHeld &, const FlowHeld &) = default;
+};
+
 using DataMessage =
     std::variant<CallerPacket, ForwardedPacket, ChainExhausted, ProbeMissed,
-                 LoadReport, CallerAnswer, PeerLeaseQuery, PeerLeaseAnswer>;
+                 LoadReport, CallerAnswer, PeerLeaseQuery, PeerLeaseAnswer,
+                 RelayedPacket, ReturnedPacket, FlowHeld>;
 
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf);
 
--- a/Source/Core/Wire/LogCommands.cpp
+++ b/Source/Core/Wire/LogCommands.cpp
@@ -49,6 +49,22 @@
   text(archive, it.Name, MaxNameBytes);
 }
 
+template <typename Archive> void fields(Archive &archive, ApplyRouting &it) {
+  text(archive, it.OperationId, MaxOperationIdBytes);
+  field(archive, it.Version);
+  text(archive, it.Lines, MaxRulesBytes);
+  text(archive, it.Document, MaxRoutingDocumentBytes);
+  field(archive, it.ProposedAtMs);
+}
+
+template <typename Archive> void fields(Archive &archive, SetDataCentre &it) {
+  text(archive, it.OperationId, MaxOperationIdBytes);
+  text(archive, it.DataCentre, MaxNameBytes);
+  field(archive, it.Out);
+  text(archive, it.Operator, MaxNameBytes);
+  field(archive, it.ProposedAtMs);
+}
+
 absl::StatusOr<LogCommand> decodeCommand(std::span<const std::byte> buf) {
   return decodeVariant<LogCommand>(buf, FirstCommandType, MaxBodyBytes);
 }
--- a/Source/Core/Wire/LogCommands.h
+++ b/Source/Core/Wire/LogCommands.h
@@ -71,8 +71,45 @@
   friend bool operator==(const BalancerLeft &, const BalancerLeft &) = default;
 };
 
-using LogCommand = std::variant<ApplyRules, UpstreamJoined, UpstreamChanged,
-                                UpstreamLeft, BalancerJoined, BalancerLeft>;
+inline constexpr std::size_t MaxRoutingDocumentBytes = 512 * 1024;
+
+/// The routing that an operator's system last put in force, as it was sent.
+struct RoutingDocument {
+  /// 0 if there was none.
+  std::uint64_t Version = 0;
+  std::string Text;
+  friend bool operator==(const RoutingDocument &,
+                         const RoutingDocument &) = default;
+};
+
+/// Replaces the service and route lines of the rules if Version is higher than
+/// that of the routing in force.
+struct ApplyRouting {
+  /// A repeat with the same id gets the first result.
+  std::string OperationId;
+  std::uint64_t Version = 0;
+  /// Service and route lines with their comments.
+  std::string Lines;
+  /// What the operator's system sent, handed back by reads unchanged.
+  std::string Document;
+  std::uint64_t ProposedAtMs = 0;
+  friend bool operator==(const ApplyRouting &, const ApplyRouting &) = default;
+};
+
+/// Declares a data centre if the rules do not, and takes it out or back.
+struct SetDataCentre {
+  std::string OperationId;
+  std::string DataCentre;
+  bool Out = false;
+  std::string Operator;
+  std::uint64_t ProposedAtMs = 0;
+  friend bool operator==(const SetDataCentre &,
+                         const SetDataCentre &) = default;
+};
+
+using LogCommand =
+    std::variant<ApplyRules, UpstreamJoined, UpstreamChanged, UpstreamLeft,
+                 BalancerJoined, BalancerLeft, ApplyRouting, SetDataCentre>;
 
 absl::StatusOr<LogCommand> decodeCommand(std::span<const std::byte> buf);
 absl::Status encodeCommand(const LogCommand &message, Bytes &out);
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -38,6 +38,21 @@
   field(archive, it.Address);
 }
 
+template <typename Archive> void fields(Archive &archive, RouteShare &it) {
+  field(archive, it.Service);
+  field(archive, it.Weight);
+}
+
+template <typename Archive> void fields(Archive &archive, RouteRecord &it) {
+  field(archive, it.Address);
+  list(archive, it.Shares, MaxRouteShares, 8);
+  list(archive, it.Former, MaxRouteShares, 4);
+}
+
+template <typename Archive> void fields(Archive &archive, Endpoint &it) {
+  field(archive, it);
+}
+
 template <typename Archive> void fields(Archive &archive, TableUpdate &it) {
   field(archive, it.From);
   field(archive, it.To);
@@ -48,10 +63,12 @@
   list(archive, it.DataCentres, MaxRecordsInUpdate, 7);
   list(archive, it.Upstreams, MaxRecordsInUpdate, 25);
   list(archive, it.Balancers, MaxRecordsInUpdate, 12);
+  list(archive, it.Routes, MaxRecordsInUpdate, 14);
   list(archive, it.RemovedServices, MaxRecordsInUpdate, 4);
   list(archive, it.RemovedDataCentres, MaxRecordsInUpdate, 2);
   list(archive, it.RemovedUpstreams, MaxRecordsInUpdate, 4);
   texts(archive, it.RemovedBalancers, MaxRecordsInUpdate, MaxNameBytes);
+  list(archive, it.RemovedRoutes, MaxRecordsInUpdate, 6);
 }
 
 template <typename Archive> void fields(Archive &archive, Subscribe &it) {
@@ -90,6 +107,7 @@
   field(archive, it.Service);
   text(archive, it.Reason, MaxReasonBytes);
   field(archive, it.Slots);
+  field(archive, it.ColdMilliPerSecond);
 }
 
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf) {
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -25,6 +25,24 @@
                          const ServiceRecord &) = default;
 };
 
+struct RouteShare {
+  ServiceId Service;
+  std::uint32_t Weight = 1;
+  friend bool operator==(const RouteShare &, const RouteShare &) = default;
+};
+
+inline constexpr std::size_t MaxRouteShares = 64;
+
+/// A route has no id: its address is its key.
+struct RouteRecord {
+  Endpoint Address;
+  std::vector<RouteShare> Shares;
+  /// Services that earlier versions of the route named; they may still hold
+  /// open flows.
+  std::vector<ServiceId> Former;
+  friend bool operator==(const RouteRecord &, const RouteRecord &) = default;
+};
+
 struct DataCentreRecord {
   DataCentreId Id;
   std::string Name;
@@ -77,10 +95,12 @@
   std::vector<DataCentreRecord> DataCentres;
   std::vector<UpstreamRecord> Upstreams;
   std::vector<BalancerRecord> Balancers;
+  std::vector<RouteRecord> Routes;
   std::vector<ServiceId> RemovedServices;
   std::vector<DataCentreId> RemovedDataCentres;
   std::vector<UpstreamId> RemovedUpstreams;
   std::vector<std::string> RemovedBalancers;
+  std::vector<Endpoint> RemovedRoutes;
   friend bool operator==(const TableUpdate &, const TableUpdate &) = default;
 };
 
@@ -143,6 +163,8 @@
   Max = Unavailable
 };
 
+inline constexpr std::uint32_t NoColdBound = 0xFFFFFFFF;
+
 struct AnnounceReply {
   AnnounceResult Result = AnnounceResult::Unavailable;
   UpstreamId Upstream;
@@ -151,6 +173,9 @@
   /// Requests that the rules let this upstream run at the same time; 0 if they
   /// set no bound.
   std::uint32_t Slots = 0;
+  /// Requests that this upstream bears in a cold start, in thousandths a
+  /// second; NoColdBound if the rules set none.
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
   friend bool operator==(const AnnounceReply &,
                          const AnnounceReply &) = default;
 };
--- a/Source/Core/Wire/PeerMessages.cpp
+++ b/Source/Core/Wire/PeerMessages.cpp
@@ -82,6 +82,17 @@
   list(archive, it.Flows, MaxStatusItems, 8);
 }
 
+template <typename Archive> void fields(Archive &archive, RoutingQuery &it) {
+  field(archive, it.Call);
+}
+
+template <typename Archive> void fields(Archive &archive, RoutingReply &it) {
+  field(archive, it.Call);
+  field(archive, it.Outcome);
+  field(archive, it.Routing.Version);
+  text(archive, it.Routing.Text, MaxRoutingDocumentBytes);
+}
+
 absl::StatusOr<PeerMessage> decodePeer(std::span<const std::byte> buf) {
   return decodeVariant<PeerMessage>(buf, FirstPeerType, MaxBodyBytes);
 }
--- a/Source/Core/Wire/PeerMessages.h
+++ b/Source/Core/Wire/PeerMessages.h
@@ -127,12 +127,26 @@
   friend bool operator==(const StatusReply &, const StatusReply &) = default;
 };
 
+/// Asks the leader for the routing with a linearizable read.
+struct RoutingQuery {
+  PeerCallId Call;
+  friend bool operator==(const RoutingQuery &, const RoutingQuery &) = default;
+};
+
+struct RoutingReply {
+  PeerCallId Call;
+  CallOutcome Outcome = CallOutcome::NotLeader;
+  RoutingDocument Routing;
+  friend bool operator==(const RoutingReply &, const RoutingReply &) = default;
+};
+
 /// Calls between members of the control group. They share the connections of
 /// the consensus channel.
 using PeerMessage =
     std::variant<ForwardedApply, ForwardedApplyReply, ForwardedNodeMessage,
                  ForwardedNodeReply, LeaderQuery, LeaderReply, RulesQuery,
-                 RulesReply, StatusQuery, StatusReply>;
+                 RulesReply, StatusQuery, StatusReply, RoutingQuery,
+                 RoutingReply>;
 
 absl::StatusOr<PeerMessage> decodePeer(std::span<const std::byte> buf);
 absl::Status encodePeer(const PeerMessage &message, Bytes &out);
--- /dev/null
+++ b/Source/DaemonMain.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Runtime/Runtime.h"
+#include "Telemetry/Telemetry.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace pistachio {
+
+template <typename Settings>
+using SettingsLoader = std::optional<Settings> (*)(const std::string &,
+                                                   Findings &);
+
+/// Runs a daemon until it ends after a stop signal. \p Daemon has start() and
+/// beginStop(), and reload(Settings) if it can follow changes of its file.
+template <typename Daemon, typename Settings>
+int runDaemon(const std::string &path, Settings settings,
+              SettingsLoader<Settings> load) {
+  boost::asio::io_context context(1);
+  Daemon daemon(context, std::move(settings));
+  if (const absl::Status started = daemon.start(); !started.ok()) {
+    logEvent(LogLevel::Error, "start_failed", started.ToString());
+    return ExitCode::Failed;
+  }
+  const auto watch = watchFile(context, path, [&] {
+    Findings findings;
+    const auto changed = load(path, findings);
+    logEvent(changed ? LogLevel::Info : LogLevel::Error, "settings_changed",
+             changed ? "the settings file was read again" : findings.format());
+    if constexpr (requires { daemon.reload(*changed); })
+      if (changed)
+        daemon.reload(*changed);
+  });
+  onStopSignal(context, [&] {
+    watch->stop();
+    daemon.beginStop();
+  });
+  context.run();
+  return ExitCode::Ok;
+}
+
+} // namespace pistachio
--- a/Source/UnitTests/Consensus/NodeTest.cpp
+++ b/Source/UnitTests/Consensus/NodeTest.cpp
@@ -8,10 +8,11 @@
 // Guards against a member list that a peer can make the decoder misread.
 TEST(MemberCodecTest, RoundTripAndRefusal) {
   const std::vector<Member> members = {{MemberId{1}, {2, 3}, true},
-                                       {MemberId{4}, {5, 6}, false}};
+                                       {MemberId{4}, {5, 6}, false},
+                                       {MemberId{7}, {8, 9}, false, true}};
   Bytes buf = encodeMembers(members);
   EXPECT_EQ(*decodeMembers(buf), members);
-  buf.back() = std::byte{2};
+  buf.back() = std::byte{3};
   EXPECT_FALSE(decodeMembers(buf).ok());
   buf.pop_back();
   EXPECT_FALSE(decodeMembers(buf).ok());
--- a/Source/UnitTests/Placement/AdmissionControllerTest.cpp
+++ b/Source/UnitTests/Placement/AdmissionControllerTest.cpp
@@ -13,8 +13,12 @@
 /// Longer than the least time between two decreases.
 constexpr Duration Apart{250};
 
-AdmissionOptions slots(std::uint32_t count, double initial = 1) {
+/// Without a hold, so that the cases see the growth of the limit; those of the
+/// hold set it.
+AdmissionOptions slots(std::uint32_t count, double initial = 1,
+                       Duration hold = Duration(0)) {
   AdmissionOptions out;
+  out.ColdHold = hold;
   out.Slots = count;
   out.InitialLimit = initial;
   return out;
@@ -55,6 +59,17 @@
 
 const LimitCase LimitCases[] = {
     {"StartsAtOne", slots(8), [](Gate &) {}, 1},
+    {"DoesNotGrowInTheHold", slots(8, 1, Apart * 10),
+     [](Gate &gate) { gate.serveFull(9); }, 1},
+    {"GrowsAfterTheHold", slots(8, 1, Apart * 10),
+     [](Gate &gate) { gate.serveFull(11); }, 2},
+    {"HoldsAgainAfterARestart", slots(8, 1, Apart * 10),
+     [](Gate &gate) {
+       gate.serveFull(11);
+       gate.Controller.restart(gate.Now);
+       gate.serveFull(9);
+     },
+     1},
     {"InitialLimitIsAtMostSlots", slots(2, 8), [](Gate &) {}, 2},
     {"InitialLimitIsAtLeastOne", slots(2, 0), [](Gate &) {}, 1},
     {"NoSlotsCountAsOne", slots(0), [](Gate &) {}, 1},
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -41,18 +41,24 @@
 
 inline std::vector<DataMessage> sampleDataMessages() {
   const ForwardedPacket forwarded = sampleForwarded(100);
-  return {forwarded.Packet,
-          forwarded,
-          ChainExhausted{forwarded},
-          ProbeMissed{forwarded},
-          LoadReport{UpstreamId{5}, 999},
-          CallerAnswer{FlowId{77},
-                       AnswerKind::Refused,
-                       {UpstreamId{3}, Incarnation{9}},
-                       250,
-                       sampleBytes(40)},
-          PeerLeaseQuery{"balancer-1", 17, Revision{8}},
-          PeerLeaseAnswer{"balancer-2", 17, 1500, Revision{9}}};
+  return {
+      forwarded.Packet,
+      forwarded,
+      ChainExhausted{forwarded},
+      ProbeMissed{forwarded},
+      LoadReport{UpstreamId{5}, 999},
+      CallerAnswer{FlowId{77},
+                   AnswerKind::Refused,
+                   {UpstreamId{3}, Incarnation{9}},
+                   250,
+                   sampleBytes(40)},
+      PeerLeaseQuery{"balancer-1", 17, Revision{8}},
+      PeerLeaseAnswer{"balancer-2", 17, 1500, Revision{9}},
+      RelayedPacket{ServiceTag{77}, 3, sampleBytes(1231)},
+      ReturnedPacket{ReturnReason::Declined, 4, 250, UpstreamLoad{2, 40, 5},
+                     sampleBytes(31)},
+      FlowHeld{
+          {0x64400007, 40001}, {0xC6120001, 443}, 99, UpstreamLoad{1, 2, 5}}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
@@ -85,6 +91,10 @@
   update.RemovedDataCentres = {DataCentreId{3}};
   update.RemovedUpstreams = {UpstreamId{8}};
   update.RemovedBalancers = {"balancer-9"};
+  update.Routes = {{{0xC6120001, 443},
+                    {{ServiceId{1}, 90}, {ServiceId{2}, 10}},
+                    {ServiceId{3}}}};
+  update.RemovedRoutes = {{0xC6120001, 444}};
   return {
       update,
       Subscribe{"balancer-1", "ee-north-a", {0x7F000001, 6000}, Revision{3}},
@@ -101,7 +111,7 @@
                true,
                false},
       AnnounceReply{AnnounceResult::Rejected, UpstreamId{6}, ServiceId{1},
-                    "unknown service", 3}};
+                    "unknown service", 3, 2500}};
 }
 
 inline std::vector<LogCommand> sampleCommands() {
@@ -118,7 +128,10 @@
       UpstreamChanged{UpstreamId{6}, Incarnation{5}, UpstreamState::Suspect},
       UpstreamLeft{UpstreamId{6}, Incarnation{5}},
       BalancerJoined{"balancer-1", "ee-north-a", {0x7F000001, 6000}},
-      BalancerLeft{"balancer-1"}};
+      BalancerLeft{"balancer-1"},
+      ApplyRouting{"routing-7-1", 7, "service a slots 1 # asked by Maarja\n",
+                   "{}", 1700000000000},
+      SetDataCentre{"out-1", "ee-north-a", true, "Maarja", 1700000000000}};
 }
 
 inline std::vector<ConsensusMessage> sampleConsensusMessages() {
@@ -132,8 +145,8 @@
           SnapshotPart{MemberId{1}, 3, 10, 2, 64, 128, 0x55, sampleBytes(20),
                        sampleBytes(64)},
           SnapshotReply{MemberId{2}, 3, 10, 128},
-          JoinRequest{MemberId{3}, {0x7F000001, 9000}},
-          JoinReply{true, {0x7F000001, 9001}}};
+          JoinRequest{MemberId{3}, {0x7F000001, 9000}, false},
+          JoinReply{true, {0x7F000001, 9001}, true}};
 }
 
 inline std::vector<PeerMessage> samplePeerMessages() {
@@ -152,7 +165,9 @@
           StatusReply{call,
                       CallOutcome::Answered,
                       {{"balancer-1", Revision{9}, 250}},
-                      {{UpstreamId{6}, 17}}}};
+                      {{UpstreamId{6}, 17}}},
+          RoutingQuery{call},
+          RoutingReply{call, CallOutcome::Answered, {7, "{}"}}};
 }
 
 } // namespace pistachio
