Keep the agents that a search has asked, and date new group members

Cause: a search for a flow's holder remembered a position in the order of the candidates. The order changes while the search runs (an agent is passed over or answers again), so one candidate was asked twice and the holder never, and the flow was reset although its upstream held it. The group leader took a member that had just joined for a silent one and removed it again, four times a second.

Ruled out: holders missing from the table (the holder was in the table of the same revision), and sequence numbers outside the window.

Change: the search keeps the set of agents it has asked; the last contact of a member counts from the moment it was added.

--- a/Source/Core/Consensus/Election.cpp
+++ b/Source/Core/Consensus/Election.cpp
@@ -74,7 +74,7 @@
   LeaderSince = now;
   Votes.clear();
   Peers.clear();
-  followConfiguration();
+  followConfiguration(now);
   // Entries of earlier terms may only be committed together with one of this
   // term.
   TermStartIndex = Storage.lastIndex() + 1;
--- a/Source/Core/Consensus/Membership.cpp
+++ b/Source/Core/Consensus/Membership.cpp
@@ -70,7 +70,8 @@
   const auto it = Peers.find(id);
   if (CurrentRole != Role::Leader || it == Peers.end())
     return std::nullopt;
-  return std::max(it->second.AckedSentAt.value_or(LeaderSince), LeaderSince);
+  return std::max(it->second.AckedSentAt.value_or(LeaderSince),
+                  it->second.AddedAt);
 }
 
 absl::Status Node::changeMembers(std::vector<Member> members, TimePoint now,
@@ -82,20 +83,22 @@
   // A member that is removed gets the entry once, so that it stops asking for
   // votes; new members get it from here on.
   broadcast(/*heartbeat=*/false, now, output);
-  followConfiguration();
+  followConfiguration(now);
   advanceCommit();
   emitCommitted(output);
   return absl::OkStatus();
 }
 
-void Node::followConfiguration() {
+void Node::followConfiguration(TimePoint now) {
   std::erase_if(Peers, [&](const auto &it) { return !find(it.first); });
   for (const Member &it : config()) {
     if (it.Id == Self)
       continue;
     Progress &peer = Peers[it.Id];
-    if (!peer.Peer.Id)
+    if (!peer.Peer.Id) {
       peer.Next = Storage.lastIndex() + 1;
+      peer.AddedAt = now;
+    }
     if (it.Voter && (!peer.Peer.Id || !peer.Peer.Voter))
       peer.VoterSinceRound = Round;
     peer.Peer = it;
--- a/Source/Core/Consensus/Node.h
+++ b/Source/Core/Consensus/Node.h
@@ -11,6 +11,7 @@
 /// What the leader knows about another member.
 struct Progress {
   Member Peer;
+  TimePoint AddedAt;
   std::uint64_t Next = 1;
   std::uint64_t Match = 0;
   /// Latest round that the member answered and the time at which it was sent.
@@ -147,7 +148,7 @@
   absl::Status requireChangePossible() const;
   absl::Status changeMembers(std::vector<Member> members, TimePoint now,
                              ConsensusOutput &output);
-  void followConfiguration();
+  void followConfiguration(TimePoint now);
 
   // Reads.cpp
   std::uint64_t confirmedRound() const;
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -54,7 +54,10 @@
   ServiceTag Service;
   bool Confirmed = false;
   bool Searching = false;
-  /// A candidate was passed over without an answer.
+  /// Agents that were asked in this search. The order of the candidates changes
+  /// while it runs, so a position in it would pass some over.
+  std::vector<Endpoint> Asked;
+  /// One of them was passed over without an answer.
   bool Skipped = false;
   std::uint8_t Attempt = 0;
   TimePoint AskedAt{};
@@ -250,6 +253,7 @@
   entry.Service = tagOfService(service->name());
   entry.Confirmed = false;
   entry.Searching = false;
+  entry.Asked.clear();
   entry.AskedAt = now;
   ++Agents[best->Address].PlacedSince;
   return forward(entry, RelayReason::Placed);
@@ -302,24 +306,30 @@
   if (!entry.Searching) {
     entry.Searching = true;
     entry.Skipped = false;
-    entry.Attempt = 0;
-    entry.AskedAt = now;
-  } else if (now - entry.AskedAt >= Options.AnswerTimeout) {
+    entry.Asked.clear();
+    entry.Current = {};
+  } else if (entry.Current.Agent.Port != 0) {
+    if (now - entry.AskedAt < Options.AnswerTimeout)
+      return forward(entry, RelayReason::Search);
     Agents[entry.Current.Agent].SilentUntil = now + Options.SilentPenalty;
     entry.Skipped = true;
-    ++entry.Attempt;
-    entry.AskedAt = now;
   }
   const std::vector<Candidate> all = candidates(flow, route, table, now);
-  if (entry.Attempt >= all.size() || entry.Attempt >= MaxAttempts) {
-    return entry.Skipped
-               ? forget(flow, RelayAction::Drop, RelayReason::Unanswered)
-               : forget(flow, RelayAction::Reset, RelayReason::Unknown);
+  const auto next = std::ranges::find_if(all, [&](const Candidate &it) {
+    return std::ranges::count(entry.Asked, it.Member->Address) == 0;
+  });
+  if (next == all.end() || entry.Asked.size() >= MaxAttempts) {
+    return entry.Skipped ? forget(flow, RelayAction::Drop,
+                                  RelayReason::Unanswered)
+                         : forget(flow, RelayAction::Reset,
+                                  RelayReason::Unknown);
   }
-  const Candidate &next = all[entry.Attempt];
-  entry.Current = {next.Member->Address, 0};
-  entry.Service = next.Service;
+  entry.Attempt = static_cast<std::uint8_t>(entry.Asked.size());
+  entry.Current = {next->Member->Address, 0};
+  entry.Asked.push_back(entry.Current.Agent);
+  entry.Service = next->Service;
   entry.Confirmed = false;
+  entry.AskedAt = now;
   return forward(entry, RelayReason::Search);
 }
 
@@ -359,10 +369,8 @@
     decision.Attempt = visits;
     return decision;
   }
-  if (entry.Searching) {
-    ++entry.Attempt;
-    entry.AskedAt = now;
-  }
+  // This agent has answered; the search goes on with the next.
+  entry.Current = {};
   const RelayDecision decision = search(entry, flow, *route, table, now);
   // A reset answers what a caller still waits for, not its own reset.
   if (decision.Action == RelayAction::Reset && packet.Resets)
@@ -385,6 +393,7 @@
   entry.Current = holder;
   entry.Confirmed = true;
   entry.Searching = false;
+  entry.Asked.clear();
   entry.Attempt = 0;
 }
 
