Let the group's leader find instances that have lost everything

Cause: after a loss of power with a lost disk, the settings named three relays as seeds. Relays keep nothing, so they knew only each other; the leader fed their former identities, whose answers it ignored. Balancers that asked the relays got no table, and nothing was served.

Ruled out: the election (a leader was there 1.2 s after the start) and reads of the routing (they were answered).

Change: an instance that hears a leader it does not belong to asks on the same connection to join, and the leader greets seeds that are not in its list.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -12,6 +12,7 @@
 constexpr Duration TickInterval{20};
 constexpr Duration JoinInterval{250};
 constexpr Duration DeclarationInterval{500};
+constexpr Duration GreetingInterval{1000};
 /// A lease lasts seconds, so it can still be granted when some of these
 /// questions are lost.
 constexpr Duration ConfirmInterval{250};
@@ -185,6 +186,13 @@
   if (const auto *reply = std::get_if<JoinReply>(&message))
     return Membership->onJoinReply(*reply, now);
   Control->receive(message, now);
+  // A leader that still has this address in its list has found an instance that
+  // has lost everything, and perhaps knows nobody else.
+  if (std::holds_alternative<AppendRequest>(message) &&
+      Membership->needsToJoin(now) && now - LastJoin >= JoinInterval) {
+    LastJoin = now;
+    Links->send(Endpoint{}, Membership->joinRequest());
+  }
 }
 
 void ControlDaemon::tick() {
@@ -200,6 +208,7 @@
   else
     followMembers();
   declareDataCentres(now);
+  greetSeeds(now);
   confirmLeader(now);
   logRoleChange();
   const ConsensusNode &node = Control->node();
@@ -243,6 +252,16 @@
   }
 }
 
+/// Seeds may all be instances that have lost everything and know only each
+/// other; the leader tells them where it is.
+void ControlDaemon::greetSeeds(TimePoint now) {
+  if (!Control->isLeader() || now - LastGreeting < GreetingInterval)
+    return;
+  LastGreeting = now;
+  for (const Endpoint &it : Membership->unknownSeeds())
+    Links->send(it, JoinReply{false, Settings.Peers});
+}
+
 void ControlDaemon::reload(const ControlSettings &settings) {
   Settings.Seeds = settings.Seeds;
   Membership->setSeeds(seedsOf(Settings));
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -46,6 +46,7 @@
   absl::Status open(bool initialise);
   absl::Status listen(const OperatorApi &operatorApi);
   void declareDataCentres(TimePoint now);
+  void greetSeeds(TimePoint now);
   ReplicatedControl::Hooks hooks();
   PeerLinks::Handlers peerHandlers();
   void onConsensus(const ConsensusMessage &message);
@@ -76,6 +77,7 @@
   TimePoint LastJoin{};
   TimePoint LastConfirmation{};
   TimePoint LastDeclaration{};
+  TimePoint LastGreeting{};
   Role LastRole = Role::Follower;
   std::vector<Member> LastMembers;
 };
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -144,6 +144,14 @@
   return !isListed() || now - LeaderSeenAt >= LeaderlessBeforeJoin;
 }
 
+std::vector<Endpoint> GroupMembership::unknownSeeds() const {
+  std::vector<Endpoint> seeds = Options.Seeds;
+  std::erase(seeds, Options.Self);
+  for (const Member &it : Control.node().members())
+    std::erase(seeds, it.Address);
+  return seeds;
+}
+
 std::optional<Endpoint> GroupMembership::nextJoinTarget() {
   if (const Endpoint hint = std::exchange(JoinHint, Endpoint{});
       hint.Port != 0 && hint != Options.Self)
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -41,6 +41,8 @@
   JoinRequest joinRequest() const {
     return {Control.identity(), Options.Self, Options.MayVote};
   }
+  /// Seeds that are not in the group.
+  std::vector<Endpoint> unknownSeeds() const;
   /// Where to ask for admission; each call names the next. Nothing if no other
   /// instance is known.
   std::optional<Endpoint> nextJoinTarget();
