--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -112,6 +112,10 @@
             {"upstreams", std::to_string(table->upstreamCount())}});
   Measured->Revision.set(static_cast<double>(table->revision().Value));
   Measured->Upstreams.set(static_cast<double>(table->upstreamCount()));
+  if (table->routeCount() == 0 || Early.size() == 0)
+    return;
+  for (const Bytes &it : Early.take(steadyNow()))
+    onCallerDatagram(it);
 }
 
 void RelayBalancer::onCallerDatagram(std::span<const std::byte> buf) {
@@ -120,8 +124,11 @@
     Measured->BadPackets.add();
     return;
   }
-  carryOut(Router->onCallerPacket(*packet, *Control->table(), steadyNow()),
-           *packet, buf);
+  const TimePoint now = steadyNow();
+  if (Control->table()->routeCount() == 0)
+    Early.add({packet->Source, packet->Destination}, buf, now);
+  carryOut(Router->onCallerPacket(*packet, *Control->table(), now), *packet,
+           buf);
 }
 
 void RelayBalancer::onInnerDatagram(std::span<const std::byte> buf,
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -40,6 +40,7 @@
   BalancerSettings Settings;
   std::unique_ptr<PacketFormat> Format;
   std::unique_ptr<FlowRouter> Router;
+  EarlyPackets Early;
   std::unique_ptr<MetricsRegistry> Registry;
   std::unique_ptr<Metrics> Measured;
   std::unique_ptr<UdpEndpoint> Outer;
--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -92,8 +92,8 @@
 
 struct ConsensusOptions {
   Duration HeartbeatInterval{100};
-  Duration ElectionTimeoutMin{600};
-  Duration ElectionTimeoutMax{1200};
+  Duration ElectionTimeoutMin{400};
+  Duration ElectionTimeoutMax{800};
   std::size_t MaxEntriesInFlight = MaxEntriesInAppend;
   /// Seeds the election timeouts.
   std::uint64_t Seed = 1;
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -9,6 +9,7 @@
 #include "Wire/Wire.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -112,6 +113,24 @@
   Duration SilentPenalty{1000};
 };
 
+/// Keeps packets that arrive before the first table, so that callers need not
+/// send them again. Of each flow the latest packet is kept.
+class EarlyPackets {
+public:
+  struct Packet {
+    Bytes Data;
+    TimePoint At{};
+  };
+
+  void add(const FlowEnds &flow, std::span<const std::byte> buf, TimePoint now);
+  /// Removes all packets and returns those that are not too old.
+  std::vector<Bytes> take(TimePoint now);
+  std::size_t size() const { return Packets.size(); }
+
+private:
+  std::map<FlowEnds, Packet> Packets;
+};
+
 /// Finds the agent for each packet of a caller. Knows the holder of the flows
 /// that it placed or found; asks the agents of the route in a fixed order
 /// otherwise.
