Leave a data centre out when it is declared again

Cause: a new leader declares the data centres of its settings that its state does not know. After a restart of all instances it did so before it had applied the log, and the command meant both declaring and bringing back, so an evacuation was undone.

Ruled out: the evacuation was lost (it was in the log and applied).

Change: declaring, taking out and bringing back are three commands, and a leader declares only once it holds its lease.

--- a/Source/ControlDaemon/ControlBackend.cpp
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -238,18 +238,18 @@
       });
 }
 
-void ControlBackend::setDataCentre(std::string name, bool out,
+void ControlBackend::setDataCentre(std::string name, DataCentreChange change,
                                    std::function<void(absl::Status)> done) {
   if (!isName(name))
     return done(absl::InvalidArgumentError(
         concat("'", name, "' is not a name of a data centre")));
   SetDataCentre command;
   command.DataCentre = std::move(name);
-  command.Out = out;
+  command.Change = change;
   command.Operator = OperatorsSystem;
   // Each order is one of its own: the same state may be wanted again later.
   command.OperationId =
-      concat(out ? "out-" : "in-", std::to_string(makeIncarnation().Value));
+      concat("data-centre-", std::to_string(makeIncarnation().Value));
   order(std::move(command), steadyNow() + OrderPatience, std::move(done));
 }
 
--- a/Source/ControlDaemon/ControlBackend.h
+++ b/Source/ControlDaemon/ControlBackend.h
@@ -27,7 +27,7 @@
                     std::function<void(absl::Status)> done) override;
   void readRouting(
       std::function<void(absl::StatusOr<RoutingDocument>)> done) override;
-  void setDataCentre(std::string name, bool out,
+  void setDataCentre(std::string name, DataCentreChange change,
                      std::function<void(absl::Status)> done) override;
 
   /// Tries orders again that found no leader.
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -11,8 +11,9 @@
 /// Resolution of all timeouts; well below the heartbeat interval of 100 ms.
 constexpr Duration TickInterval{20};
 constexpr Duration JoinInterval{250};
+constexpr Duration JoinRetry{40};
 constexpr Duration DeclarationInterval{500};
-constexpr Duration GreetingInterval{1000};
+constexpr Duration GreetingInterval{250};
 /// A lease lasts seconds, so it can still be granted when some of these
 /// questions are lost.
 constexpr Duration ConfirmInterval{250};
@@ -183,8 +184,13 @@
   const TimePoint now = steadyNow();
   if (const auto *request = std::get_if<JoinRequest>(&message))
     return Links->send(Endpoint{}, Membership->onJoinRequest(*request, now));
-  if (const auto *reply = std::get_if<JoinReply>(&message))
-    return Membership->onJoinReply(*reply, now);
+  if (const auto *reply = std::get_if<JoinReply>(&message)) {
+    Membership->onJoinReply(*reply, now);
+    // The leader is known and may be busy with another change.
+    if (!reply->Accepted && reply->Leader.Port != 0)
+      LastJoin = now - JoinInterval + JoinRetry;
+    return;
+  }
   Control->receive(message, now);
   // A leader that still has this address in its list has found an instance that
   // has lost everything, and perhaps knows nobody else.
@@ -239,16 +245,20 @@
 /// Upstreams and balancers of a data centre are accepted only once the rules
 /// declare it.
 void ControlDaemon::declareDataCentres(TimePoint now) {
-  if (!Control->isLeader() || now - LastDeclaration < DeclarationInterval)
+  // A new leader may not have applied yet what was committed before.
+  if (!Control->holdsLeaderLease(now) ||
+      now - LastDeclaration < DeclarationInterval)
     return;
   LastDeclaration = now;
   for (const std::string &it : Settings.DataCentres) {
     if (!Control->state().findDataCentre(it))
-      Backend->setDataCentre(it, false, [it](const absl::Status &status) {
-        logEvent(status.ok() ? LogLevel::Info : LogLevel::Warning,
-                 "data_centre_declared", status.ok() ? "" : messageOf(status),
-                 {{"data_centre", it}});
-      });
+      Backend->setDataCentre(
+          it, DataCentreChange::Declare, [it](const absl::Status &status) {
+            logEvent(status.ok() ? LogLevel::Info : LogLevel::Warning,
+                     "data_centre_declared",
+                     status.ok() ? "" : messageOf(status),
+                     {{"data_centre", it}});
+          });
   }
 }
 
@@ -272,6 +282,7 @@
   if (members == LastMembers)
     return;
   Links->keepOnly(members);
+  Links->connect(members, Settings.Peers);
   logEvent(LogLevel::Info, "members_changed", "members of the group changed",
            {{"members", std::to_string(members.size())}});
   LastMembers = std::move(members);
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -88,7 +88,7 @@
       return absl::OkStatus();
     // The former member at this address lost its data folder. One change at a
     // time: the joiner asks again and is added then.
-    if (it.Address == request.Address)
+    if (it.Voter && it.Address == request.Address)
       return Control.change(
           now, [&](ConsensusNode &node, ConsensusOutput &output) {
             absl::Status removed = node.remove(it.Id, now, output);
--- a/Source/ControlDaemon/PeerLinks.cpp
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -132,6 +132,12 @@
     it(absl::DeadlineExceededError("no reply from the leader"));
 }
 
+void PeerLinks::connect(std::span<const Member> members, const Endpoint &self) {
+  for (const Member &it : members)
+    if (it.Address != self)
+      linkTo(it.Address);
+}
+
 void PeerLinks::keepOnly(std::span<const Member> members) {
   std::erase_if(Links, [&](const auto &it) {
     return std::none_of(
--- a/Source/ControlDaemon/PeerLinks.h
+++ b/Source/ControlDaemon/PeerLinks.h
@@ -38,6 +38,9 @@
   void call(const Endpoint &to, PeerMessage message, TimePoint deadline,
             ReplyHandler done);
   void tick(TimePoint now);
+  /// Opens links to all of \p members but \p self: the first message of an
+  /// election would be lost while its connection is made.
+  void connect(std::span<const Member> members, const Endpoint &self);
   /// Closes links to endpoints that are not in \p members.
   void keepOnly(std::span<const Member> members);
   void stop();
--- a/Source/Core/Admin/Admin.h
+++ b/Source/Core/Admin/Admin.h
@@ -196,7 +196,7 @@
   /// The newest routing; NotFound if there was none.
   virtual void
   readRouting(std::function<void(absl::StatusOr<RoutingDocument>)> done) = 0;
-  virtual void setDataCentre(std::string name, bool out,
+  virtual void setDataCentre(std::string name, DataCentreChange change,
                              std::function<void(absl::Status)> done) = 0;
 };
 
--- a/Source/Core/Consensus/Membership.cpp
+++ b/Source/Core/Consensus/Membership.cpp
@@ -26,6 +26,11 @@
   if (find(member.Id))
     return absl::AlreadyExistsError("member is known already");
   std::vector<Member> members = config();
+  // A relay that comes back has a new identity. Learners count for no majority,
+  // so its former one can go in the same change.
+  std::erase_if(members, [&](const Member &it) {
+    return !it.Voter && it.Address == member.Address;
+  });
   if (members.size() >= MaxMembers)
     return absl::FailedPreconditionError("group has the most members allowed");
   members.push_back({member.Id, member.Address, /*Voter=*/false, member.Relay});
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -220,9 +220,10 @@
     text += '\n';
   if (!has(Data.Rules.dataCentres()))
     text += line("datacentre");
-  if (command.Out && !has(Data.Rules.out())) {
+  const bool isOut = has(Data.Rules.out());
+  if (command.Change == DataCentreChange::TakeOut && !isOut) {
     text += line("out");
-  } else if (!command.Out && has(Data.Rules.out())) {
+  } else if (command.Change == DataCentreChange::BringBack && isOut) {
     absl::StatusOr<std::string> without =
         removeRule(Data.Rules, concat("out ", name));
     if (!without.ok())
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -319,10 +319,9 @@
     return std::ranges::count(entry.Asked, it.Member->Address) == 0;
   });
   if (next == all.end() || entry.Asked.size() >= MaxAttempts) {
-    return entry.Skipped ? forget(flow, RelayAction::Drop,
-                                  RelayReason::Unanswered)
-                         : forget(flow, RelayAction::Reset,
-                                  RelayReason::Unknown);
+    return entry.Skipped
+               ? forget(flow, RelayAction::Drop, RelayReason::Unanswered)
+               : forget(flow, RelayAction::Reset, RelayReason::Unknown);
   }
   entry.Attempt = static_cast<std::uint8_t>(entry.Asked.size());
   entry.Current = {next->Member->Address, 0};
--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -30,7 +30,7 @@
 
 /// A request without an answer for this long no longer counts as work; the
 /// caller has given up or the answer was lost.
-constexpr Duration BusyTimeout{5000};
+constexpr Duration BusyTimeout{1000};
 
 /// A flow that both ends have closed is kept this long for packets sent again.
 constexpr Duration ClosedLinger{3000};
@@ -41,6 +41,9 @@
   std::uint32_t FirstSequence = 0;
   TimePoint SeenAt{};
   TimePoint BusySince{};
+  /// End of the caller's data that has been seen.
+  std::uint32_t CallerEnd = 0;
+  bool HasData = false;
   bool Busy = false;
   /// The upstream has sent a packet of the flow.
   bool Held = false;
@@ -104,6 +107,7 @@
   void noteAnswer(Flow &flow, const FlowEnds &ends, const FlowPacket &packet,
                   TimePoint now, GateOutput &out);
   void setBusy(Flow &flow, bool busy, TimePoint now);
+  void noteRequest(Flow &flow, const FlowPacket &packet, TimePoint now);
   void erase(const FlowEnds &ends);
   Flow *find(const FlowEnds &ends);
   Flow &insert(const FlowEnds &ends, TimePoint now);
@@ -154,6 +158,20 @@
   busy ? ++BusyFlows : --BusyFlows;
 }
 
+/// Data that is sent again is no new work.
+void UpstreamGateImpl::noteRequest(Flow &flow, const FlowPacket &packet,
+                                   TimePoint now) {
+  if (packet.DataBytes == 0)
+    return;
+  const std::uint32_t end = packet.Sequence + packet.DataBytes;
+  const std::uint32_t ahead = end - flow.CallerEnd;
+  if (flow.HasData && (ahead == 0 || ahead > SequenceWindow))
+    return;
+  flow.HasData = true;
+  flow.CallerEnd = end;
+  setBusy(flow, true, now);
+}
+
 void UpstreamGateImpl::erase(const FlowEnds &ends) {
   const auto it = Flows.find(ends);
   if (it == Flows.end())
@@ -318,8 +336,7 @@
       flow->Told = false;
     flow->Balancer = balancer;
     flow->CallerEnded = flow->CallerEnded || packet->Ends;
-    if (packet->DataBytes > 0)
-      setBusy(*flow, true, now);
+    noteRequest(*flow, *packet, now);
     if (packet->Resets)
       erase(ends);
   }
@@ -406,7 +423,7 @@
     giveBack(ReturnReason::Declined, it.Attempt, UnansweredRetry,
              std::move(it.Packet), it.Balancer, out);
   }
-  constexpr Duration SweepInterval{1000};
+  constexpr Duration SweepInterval{250};
   if (now - LastSweep < SweepInterval)
     return;
   LastSweep = now;
--- a/Source/Core/Wire/LogCommands.cpp
+++ b/Source/Core/Wire/LogCommands.cpp
@@ -60,7 +60,7 @@
 template <typename Archive> void fields(Archive &archive, SetDataCentre &it) {
   text(archive, it.OperationId, MaxOperationIdBytes);
   text(archive, it.DataCentre, MaxNameBytes);
-  field(archive, it.Out);
+  field(archive, it.Change);
   text(archive, it.Operator, MaxNameBytes);
   field(archive, it.ProposedAtMs);
 }
--- a/Source/Core/Wire/LogCommands.h
+++ b/Source/Core/Wire/LogCommands.h
@@ -96,11 +96,19 @@
   friend bool operator==(const ApplyRouting &, const ApplyRouting &) = default;
 };
 
+enum class DataCentreChange : std::uint8_t {
+  /// Only makes it known; one that is out stays out.
+  Declare,
+  TakeOut,
+  BringBack,
+  Max = BringBack
+};
+
 /// Declares a data centre if the rules do not, and takes it out or back.
 struct SetDataCentre {
   std::string OperationId;
   std::string DataCentre;
-  bool Out = false;
+  DataCentreChange Change = DataCentreChange::Declare;
   std::string Operator;
   std::uint64_t ProposedAtMs = 0;
   friend bool operator==(const SetDataCentre &,
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -131,7 +131,8 @@
       BalancerLeft{"balancer-1"},
       ApplyRouting{"routing-7-1", 7, "service a slots 1 # asked by Maarja\n",
                    "{}", 1700000000000},
-      SetDataCentre{"out-1", "ee-north-a", true, "Maarja", 1700000000000}};
+      SetDataCentre{"out-1", "ee-north-a", DataCentreChange::BringBack,
+                    "Maarja", 1700000000000}};
 }
 
 inline std::vector<ConsensusMessage> sampleConsensusMessages() {
