Test the relay, the adapter, routing documents and the forming of the group

Cause: the thin path had no tests of its own. One of the new ones failed at once: an agent that was restarted passed a flow's packets to its upstream but never told the balancer that it holds the flow, so every packet of the flow was searched for.

The gate notes the flows that it offers to its upstream.

--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -324,13 +324,20 @@
   if (packet->Opens)
     return onOpen(std::move(message), *packet, balancer, now, out);
   const FlowEnds ends{packet->Source, packet->Destination};
-  if (Flow *flow = find(ends)) {
+  Flow *flow = find(ends);
+  if (flow != nullptr) {
     const bool isOther =
         packet->Acknowledges && flow->FirstSequence != 0 &&
         packet->Acknowledgement - flow->FirstSequence > SequenceWindow;
     if (isOther)
       return giveBack(ReturnReason::NotHeld, message.Attempt, {},
                       std::move(message.Packet), balancer, out);
+  } else if (!packet->Resets) {
+    // An agent that has been restarted does not know which flows its upstream
+    // holds; the upstream itself gives back those that it does not.
+    flow = &insert(ends, now);
+  }
+  if (flow != nullptr) {
     flow->SeenAt = now;
     if (flow->Balancer != balancer)
       flow->Told = false;
@@ -340,8 +347,6 @@
     if (packet->Resets)
       erase(ends);
   }
-  // An agent that has been restarted does not know which flows its upstream
-  // holds; the upstream itself gives back those that it does not.
   deliver(message, balancer, out);
 }
 
--- a/Source/UnitTests/Consensus/NodeTest.cpp
+++ b/Source/UnitTests/Consensus/NodeTest.cpp
@@ -109,6 +109,57 @@
   EXPECT_EQ(group.violations(), "");
 }
 
+// Guards against a relay that comes back with a new identity and has to wait
+// for two membership changes, and against one that gets a vote.
+TEST(NodeTest, RelayReplacesItsFormerSelf) {
+  Group group(3, 26);
+  ASSERT_TRUE(group.proposeMany(1));
+  group.run(Duration(200));
+  const std::size_t lead = *group.leader();
+  const Endpoint address = group.member(group.addHost()).Address;
+  const Member former{MemberId{901}, address, false, true};
+  const Member present{MemberId{902}, address, false, true};
+  ASSERT_TRUE(group.addLearner(lead, former).ok());
+  group.run(Duration(300));
+  EXPECT_EQ(group.change(lead, &ConsensusNode::promote, former.Id).code(),
+            absl::StatusCode::kFailedPrecondition);
+  ASSERT_TRUE(group.addLearner(lead, present).ok());
+  group.run(Duration(300));
+  const std::vector<Member> members = group.node(lead).members();
+  ASSERT_EQ(members.size(), 4U);
+  EXPECT_EQ(members.back(), present);
+}
+
+// Guards against a member that has just been added and is taken for a silent
+// one.
+TEST(NodeTest, ContactOfANewMemberCountsFromItsAddition) {
+  Group group(1, 27);
+  group.run(Duration(5000));
+  const Member learner{MemberId{901}, group.member(group.addHost()).Address,
+                       false};
+  EXPECT_EQ(group.node(0).lastContact(learner.Id), std::nullopt);
+  ASSERT_TRUE(group.addLearner(0, learner).ok());
+  const TimePoint added = group.Now;
+  group.run(Duration(1000));
+  EXPECT_EQ(group.node(0).lastContact(learner.Id), added);
+}
+
+// Guards against a second group beside the first.
+TEST(NodeTest, OnlyAnEmptyMemberFoundsAGroup) {
+  const auto storage = makeMemoryLogStorage(MemberId{7});
+  const TimePoint now{Duration(1000)};
+  const auto node = makeConsensusNode({}, *storage, now);
+  const Member self{MemberId{7}, {1, 1}, true};
+  const Member other{MemberId{8}, {1, 2}, true};
+  EXPECT_EQ(node->found(std::span(&other, 1), now).code(),
+            absl::StatusCode::kInvalidArgument);
+  ASSERT_TRUE(node->found(std::span(&self, 1), now).ok());
+  node->tick(now);
+  EXPECT_EQ(node->role(), Role::Leader);
+  EXPECT_EQ(node->found(std::span(&self, 1), now).code(),
+            absl::StatusCode::kFailedPrecondition);
+}
+
 // Guards against requests that outgrow the message bound when entries are
 // large, and against a log that stops at one of them.
 TEST(NodeTest, LargestEntriesAreReplicated) {
--- a/Source/UnitTests/Control/ControlScript.h
+++ b/Source/UnitTests/Control/ControlScript.h
@@ -72,7 +72,14 @@
 
   LogCommand next(const ControlState &state) {
     const auto machine = static_cast<std::uint16_t>(pick(12));
-    switch (pick(8)) {
+    switch (pick(10)) {
+    case 8:
+      return routing(state);
+    case 9:
+      return SetDataCentre{"dc-" + std::to_string(++Operation),
+                           pick(2) ? "ee-north-a" : "ee-north-b",
+                           static_cast<DataCentreChange>(pick(3)), "Tiina",
+                           Operation * 1000};
     case 0:
       return rules(state);
     case 1:
@@ -101,6 +108,23 @@
   std::size_t pick(std::size_t n) { return Random() % n; }
 
 private:
+  /// A routing with a higher version, or now and then an older one.
+  LogCommand routing(const ControlState &state) {
+    std::string lines;
+    for (const char *name : {"workshop-api", "intake-api"})
+      lines += std::string("service ") + name + " slots 5 # asked by Tiina\n";
+    for (std::size_t i = 0, n = pick(4); i < n; ++i)
+      lines += "route r-" + std::to_string(i) +
+               " address 10.30.0.1:" + std::to_string(500 + i) +
+               " to workshop-api weight " + std::to_string(1 + pick(9)) +
+               (pick(2) ? " and intake-api weight 1" : "") +
+               " # asked by Tiina\n";
+    const std::uint64_t version = state.routing().Version + pick(4);
+    return ApplyRouting{"routing-" + std::to_string(++Operation), version,
+                        lines, "document " + std::to_string(version),
+                        Operation * 1000};
+  }
+
   LogCommand rules(const ControlState &state) {
     std::string text = "datacentre ee-north-a # asked by Maarja\n";
     if (pick(4))
--- a/Source/UnitTests/Control/NodeTable.h
+++ b/Source/UnitTests/Control/NodeTable.h
@@ -54,11 +54,12 @@
   std::map<DataCentreId, DataCentreRecord> DataCentres;
   std::map<UpstreamId, UpstreamRecord> Upstreams;
   std::map<std::string, BalancerRecord> Balancers;
+  std::map<Endpoint, RouteRecord> Routes;
 
   friend bool operator==(const NodeTable &a, const NodeTable &b) {
     return a.At == b.At && a.Services == b.Services &&
            a.DataCentres == b.DataCentres && a.Upstreams == b.Upstreams &&
-           a.Balancers == b.Balancers;
+           a.Balancers == b.Balancers && a.Routes == b.Routes;
   }
 
 private:
@@ -67,6 +68,7 @@
     DataCentres.clear();
     Upstreams.clear();
     Balancers.clear();
+    Routes.clear();
   }
 
   void applyPart(const TableUpdate &it) {
@@ -86,6 +88,10 @@
       Upstreams[record.Id] = record;
     for (const auto &record : it.Balancers)
       Balancers[record.Name] = record;
+    for (const auto &address : it.RemovedRoutes)
+      Routes.erase(address);
+    for (const auto &record : it.Routes)
+      Routes[record.Address] = record;
   }
 
   std::map<std::uint32_t, TableUpdate> Parts;
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -278,5 +278,97 @@
   EXPECT_EQ(client(0)->readRules()->Rules, second);
 }
 
+/// Instances that find each other by seeds. They share their ports and differ
+/// in their addresses; instance 0 has the lowest one.
+class SeededGroupTest : public ControlDaemonTest {
+protected:
+  static Endpoint at(std::size_t i, std::uint16_t port) {
+    return {0x7F000002 + static_cast<std::uint32_t>(i), port};
+  }
+
+  /// The first \p relays instances have no disk.
+  void makeSeeded(std::size_t n, std::size_t relays) {
+    boost::asio::io_context context;
+    const std::uint16_t peers = freeEndpoint(context).Port;
+    const std::uint16_t nodes = freeEndpoint(context).Port;
+    const std::uint16_t admin = freeEndpoint(context).Port;
+    const std::uint16_t orders = freeEndpoint(context).Port;
+    for (std::size_t i = 0; i < n; ++i) {
+      ControlSettings settings;
+      settings.Name = "control-" + std::to_string(i);
+      settings.DataCentre = "ee-north-a";
+      if (i >= relays)
+        settings.DataFolder = (Folder / settings.Name).string();
+      settings.Peers = at(i, peers);
+      settings.Nodes = at(i, nodes);
+      settings.Admin = at(i, admin);
+      settings.OperatorApi = at(i, orders);
+      settings.Credentials = {{"operators", Secret}};
+      settings.DataCentres = {"ee-north-a", "ee-north-b"};
+      for (std::size_t k = 0; k < std::min<std::size_t>(n, 3); ++k)
+        settings.Seeds.push_back(at(k, peers));
+      settings.FoundGroup = true;
+      Instances.push_back(std::make_unique<Instance>(std::move(settings)));
+    }
+  }
+
+  void startAll() {
+    for (const auto &it : Instances)
+      ASSERT_TRUE(it->start(false).ok());
+  }
+
+  /// All instances list \p voters voters and \p members members.
+  void waitForGroup(std::size_t voters, std::size_t members) const {
+    for (std::size_t i = 0; i < Instances.size(); ++i)
+      waitForStatus(i, [&](const ControlStatus &it) {
+        const auto n = std::count_if(it.Members.begin(), it.Members.end(),
+                                     [](const auto &m) { return m.Voter; });
+        return static_cast<std::size_t>(n) == voters &&
+               it.Members.size() == members;
+      });
+  }
+};
+
+// Guards against two groups at the first start, and against none when the
+// instance that decides has no disk.
+TEST_F(SeededGroupTest, FormsOneGroup) {
+  for (const std::size_t relays : {0, 1, 2}) {
+    Instances.clear();
+    makeSeeded(relays + 3, relays);
+    startAll();
+    waitForGroup(3, relays + 3);
+    std::filesystem::remove_all(Folder);
+    std::filesystem::create_directories(Folder);
+  }
+}
+
+// Guards against relays that know only each other after a loss of power, and
+// nodes that ask them in vain.
+TEST_F(SeededGroupTest, RelaysAreFoundAgainWhenTheyAreTheOnlySeeds) {
+  makeSeeded(6, 3);
+  startAll();
+  waitForGroup(3, 6);
+  for (const auto &it : Instances)
+    it->stop();
+  for (const auto &it : Instances)
+    it->Settings.FoundGroup = false;
+  startAll();
+  waitForGroup(3, 6);
+  NodeProbe node(Instances[0]->Settings.Nodes);
+  EXPECT_TRUE(node.waitFor([&] { return node.isLeased(); }));
+}
+
+// Guards against a lost disk that leaves the group one member short.
+TEST_F(SeededGroupTest, MemberWithAnEmptyDiskIsReplaced) {
+  makeSeeded(3, 0);
+  startAll();
+  waitForGroup(3, 3);
+  Instances[0]->stop();
+  std::filesystem::remove_all(Instances[0]->Settings.DataFolder);
+  Instances[0]->Settings.FoundGroup = false;
+  ASSERT_TRUE(Instances[0]->start(false).ok());
+  waitForGroup(3, 3);
+}
+
 } // namespace
 } // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Platform/DocumentsTest.cpp
@@ -0,0 +1,111 @@
+#include "Samples.h"
+
+#include "platform/Platform.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachio::platform {
+namespace {
+
+// Guards against fields that are lost or read as others.
+TEST(DocumentsTest, ReadsRouting) {
+  const auto plan = decodeRouting(RoutingBody);
+  ASSERT_TRUE(plan.ok()) << plan.status();
+  EXPECT_EQ(plan->Version, 12U);
+  EXPECT_EQ(plan->Document, RoutingBody);
+  ASSERT_EQ(plan->Routes.size(), 2U);
+  EXPECT_EQ(toString(plan->Routes[0].Address), "10.9.0.1:8443");
+  ASSERT_EQ(plan->Routes[0].Targets.size(), 2U);
+  EXPECT_EQ(plan->Routes[0].Targets[1].Service, "beta");
+  EXPECT_EQ(plan->Routes[0].Targets[1].Weight, 30U);
+  EXPECT_EQ(plan->Routes[1].Targets[0].Service, "beta");
+  ASSERT_EQ(plan->Services.size(), 2U);
+  EXPECT_EQ(plan->Services[0].ColdPerSecond, 2.5);
+  EXPECT_EQ(plan->Services[0].Slots, 2000U);
+  EXPECT_EQ(plan->Services[1].ColdPerSecond, std::nullopt);
+  EXPECT_EQ(plan->Services[1].Slots, 10000U);
+  // The rules of the product accept what the adapter makes of it.
+  Findings findings;
+  EXPECT_TRUE(RuleSet::parse(formatRouting(plan->Services, plan->Routes, "x"),
+                             "rules", findings))
+      << findings.format();
+}
+
+TEST(DocumentsTest, ReadsReport) {
+  const auto report = decodeReport("i-1", ReportBody);
+  ASSERT_TRUE(report.ok()) << report.status();
+  EXPECT_EQ(report->Id, "i-1");
+  EXPECT_EQ(report->Service, "alpha");
+  EXPECT_EQ(toString(report->Address), "10.1.0.9:8080");
+  EXPECT_EQ(report->Slots, 2U);
+  EXPECT_FALSE(report->Draining);
+  EXPECT_EQ(report->ColdLeft, Duration(40));
+  EXPECT_EQ(report->Sequence, 4U);
+  EXPECT_EQ(report->BornMs, 1700000000000U);
+}
+
+struct FaultCase {
+  const char *Name;
+  bool IsRouting;
+  std::string_view From;
+  std::string_view To;
+  /// Start of the message.
+  std::string_view Expected;
+};
+
+class DocumentFaultTest : public testing::TestWithParam<FaultCase> {};
+
+// Guards against documents that are obeyed although they are faulty, and
+// against messages that do not name the field.
+TEST_P(DocumentFaultTest, NamesTheField) {
+  const FaultCase &it = GetParam();
+  std::string body = it.IsRouting ? RoutingBody : ReportBody;
+  const std::size_t at = body.find(it.From);
+  ASSERT_NE(at, std::string::npos);
+  body.replace(at, it.From.size(), it.To);
+  const absl::Status status = it.IsRouting ? decodeRouting(body).status()
+                                           : decodeReport("i", body).status();
+  EXPECT_EQ(status.code(), absl::StatusCode::kInvalidArgument);
+  EXPECT_EQ(messageOf(status).substr(0, it.Expected.size()), it.Expected);
+}
+
+const FaultCase FaultCases[] = {
+    {"Cut", true, "\"limits\"", "", "the body is not JSON"},
+    {"NoVersion", true, "\"version\"", "\"v\"", "version: the field is"},
+    {"VersionZero", true, ":12,", ":0,", "version: a number from 1"},
+    {"VersionText", true, ":12,", ":\"12\",", "version: a whole number"},
+    {"VersionNegative", true, ":12,", ":-12,", "version: a whole number"},
+    {"VersionFraction", true, ":12,", ":12.5,", "version: a whole number"},
+    {"NoRoutes", true, "\"routes\"", "\"ways\"", "routes: the field is"},
+    {"RoutesNull", true, "\"services\":[", "\"services\":null,\"s\":[",
+     "services: an array"},
+    {"TimeoutZero", true, ":1500", ":0", "timeout_ms: a number from 1"},
+    {"NoWeight", true, "\"weight\":30", "\"w\":30", "weight: the field is"},
+    {"WeightNegative", true, "\"weight\":30", "\"weight\":-1",
+     "weight: a whole number"},
+    {"HostName", true, "10.9.0.1", "host.example", "host: "},
+    {"PortWithoutSlashes", true, "/8443/", "8443", "path_prefix: a port"},
+    {"PortTooLarge", true, "/8443/", "/99999/", "host: "},
+    {"NoService", true, "\"service\":\"beta\"}],\"services\"",
+     "\"weight\":3}],\"services\"", "service: the field is"},
+    {"RouteIsText", true, "\"routes\":[", "\"routes\":[\"x\",", "routes: an"},
+    {"ServiceName", true, "\"name\":\"beta\"", "\"name\":\"b b\"",
+     "name: 'b b' is not"},
+    {"ColdRateNegative", true, "2.5", "-2.5", "cold_per_s: a number"},
+    {"State", false, "ready", "asleep", "state: 'asleep' is neither"},
+    {"NoSlots", false, "\"slots\":2,", "", "slots: the field is"},
+    {"SlotsText", false, "\"slots\":2", "\"slots\":\"2\"",
+     "slots: a whole number"},
+    {"Address", false, "10.1.0.9:8080", "10.1.0.9", "address: "},
+    {"BornFraction", false, "1700000000000", "17.5", "born: a whole number"},
+    {"ColdLeft", false, ":40", ":-1", "cold_left_ms: a whole number"},
+    {"Array", false, "{\"service\"", "[{\"service\"", "the body is not JSON"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, DocumentFaultTest,
+                         testing::ValuesIn(FaultCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+} // namespace
+} // namespace pistachio::platform
--- /dev/null
+++ b/Source/UnitTests/Relay/EarlyPacketsTest.cpp
@@ -0,0 +1,28 @@
+#include "RelayWorld.h"
+
+#include <gtest/gtest.h>
+
+namespace pistachio {
+namespace {
+
+// Guards against callers that have to send again what came just before the
+// first table, against packets that nobody waits for any more, and against a
+// buffer that grows without bound.
+TEST(EarlyPacketsTest, KeepsTheLatestOfEachFlow) {
+  EarlyPackets packets;
+  const TimePoint start{Duration(1000)};
+  const FlowEnds first{callerOf(1), RouteAddress};
+  packets.add(first, Bytes{std::byte{1}}, start);
+  packets.add(first, Bytes{std::byte{2}}, start + Duration(200));
+  packets.add({callerOf(2), RouteAddress}, Bytes{std::byte{3}}, start);
+  const std::vector<Bytes> kept = packets.take(start + Duration(1300));
+  ASSERT_EQ(kept.size(), 1U);
+  EXPECT_EQ(kept[0], Bytes{std::byte{2}});
+  EXPECT_EQ(packets.size(), 0U);
+  for (std::uint32_t n = 0; n < 10000; ++n)
+    packets.add({{n, 1}, RouteAddress}, Bytes{std::byte{1}}, start);
+  EXPECT_LE(packets.size(), 2000U);
+}
+
+} // namespace
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -0,0 +1,290 @@
+#include "RelayWorld.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace pistachio {
+namespace {
+
+constexpr Duration AnswerTimeout = FlowRouterOptions{}.AnswerTimeout;
+
+class FlowRouterTest : public testing::Test {
+protected:
+  RelayDecision send(const FlowPacket &packet) {
+    return Router->onCallerPacket(packet, *Table, Now);
+  }
+  RelayDecision giveBack(const FlowPacket &packet, const RelayDecision &from,
+                         ReturnReason reason, std::uint16_t retryAfterMs = 0,
+                         UpstreamLoad load = {}) {
+    ReturnedPacket message;
+    message.Reason = reason;
+    message.Attempt = from.Attempt;
+    message.RetryAfterMs = retryAfterMs;
+    message.Load = load;
+    return Router->onReturned(packet, message, from.Agent, *Table, Now);
+  }
+  void hold(std::uint16_t caller, const Endpoint &agent,
+            std::uint32_t sequence = 500, UpstreamLoad load = {}) {
+    Router->onHeld({callerOf(caller), RouteAddress, sequence, load}, agent,
+                   Now);
+  }
+
+  TestTable Table{6};
+  TimePoint Now{Duration(1000000)};
+  std::unique_ptr<FlowRouter> Router = makeFlowRouter({.DataCentre = "x"});
+};
+
+// Guards against a packet that leaves its flow's upstream while it is known.
+TEST_F(FlowRouterTest, PacketsFollowTheHolder) {
+  const RelayDecision first = send(firstPacket(1));
+  ASSERT_EQ(first.Action, RelayAction::Forward);
+  EXPECT_EQ(first.Service, tagOfService("a"));
+  hold(1, first.Agent);
+  for (int i = 0; i < 20; ++i) {
+    Now += Duration(500);
+    EXPECT_EQ(send(dataPacket(1, 501)).Agent, first.Agent);
+    EXPECT_EQ(send(firstPacket(1)).Agent, first.Agent);
+  }
+}
+
+// Guards against a search that asks one candidate twice and another never when
+// the order of the candidates changes meanwhile; the flow was then reset
+// although its upstream held it.
+TEST_F(FlowRouterTest, SearchAsksEveryCandidateOnceWhenTheOrderChanges) {
+  for (std::uint16_t caller = 1; caller <= 40; ++caller) {
+    std::set<Endpoint> asked;
+    RelayDecision decision = send(dataPacket(caller));
+    for (int i = 0; i < 6; ++i) {
+      ASSERT_EQ(decision.Action, RelayAction::Forward) << "caller " << caller;
+      EXPECT_TRUE(asked.insert(decision.Agent).second);
+      // Another flow finds an agent silent, which moves it to the end, or one
+      // that answers again, which moves it back.
+      const auto other = static_cast<std::uint16_t>(1000 + caller * 10 + i);
+      const RelayDecision silent = send(firstPacket(other));
+      Now += AnswerTimeout;
+      send(firstPacket(other));
+      hold(2000, agentOf(1 + (caller + i) % 6));
+      Now -= AnswerTimeout;
+      (void)silent;
+      decision = giveBack(dataPacket(caller), decision, ReturnReason::NotHeld);
+    }
+    EXPECT_EQ(asked.size(), 6U);
+    EXPECT_EQ(decision.Action, RelayAction::Reset);
+    EXPECT_EQ(decision.Reason, RelayReason::Unknown);
+  }
+}
+
+// Guards against a reset of a flow that an agent may hold which has not
+// answered.
+TEST_F(FlowRouterTest, NoResetWhileACandidateHasNotAnswered) {
+  RelayDecision decision = send(dataPacket(1));
+  Now += AnswerTimeout;
+  RelayDecision next = send(dataPacket(1));
+  EXPECT_NE(next.Agent, decision.Agent);
+  for (int i = 0; i < 4; ++i) {
+    ASSERT_EQ(next.Action, RelayAction::Forward);
+    next = giveBack(dataPacket(1), next, ReturnReason::NotHeld);
+  }
+  ASSERT_EQ(next.Action, RelayAction::Forward);
+  next = giveBack(dataPacket(1), next, ReturnReason::NotHeld);
+  EXPECT_EQ(next.Action, RelayAction::Drop);
+  EXPECT_EQ(next.Reason, RelayReason::Unanswered);
+}
+
+// Guards against a search that ends at an agent which has died.
+TEST_F(FlowRouterTest, SearchPassesASilentAgent) {
+  const RelayDecision first = send(dataPacket(1));
+  EXPECT_EQ(send(dataPacket(1)).Agent, first.Agent);
+  Now += AnswerTimeout;
+  EXPECT_NE(send(dataPacket(1)).Agent, first.Agent);
+}
+
+// Guards against the answer to a caller's own reset.
+TEST_F(FlowRouterTest, ResetOfAnUnknownFlowIsNotAnswered) {
+  FlowPacket packet = dataPacket(1);
+  packet.Resets = true;
+  RelayDecision decision = send(packet);
+  for (int i = 0; i < 6; ++i)
+    decision = giveBack(packet, decision, ReturnReason::NotHeld);
+  EXPECT_EQ(decision.Action, RelayAction::Drop);
+}
+
+// Guards against packets that cross services: whatever comes back, they stay
+// with the route's own.
+TEST_F(FlowRouterTest, NeverLeavesTheServicesOfTheRoute) {
+  for (std::uint16_t caller = 1; caller <= 50; ++caller) {
+    const RelayDecision other = send(firstPacket(caller, OtherRoute));
+    EXPECT_EQ(other.Agent, agentOf(100));
+    EXPECT_EQ(other.Service, tagOfService("b"));
+    RelayDecision decision = send(firstPacket(caller));
+    while (decision.Action == RelayAction::Forward) {
+      EXPECT_NE(decision.Agent, agentOf(100));
+      EXPECT_EQ(decision.Service, tagOfService("a"));
+      decision =
+          giveBack(firstPacket(caller), decision, ReturnReason::Declined, 1000);
+    }
+    Now += Duration(2000);
+  }
+}
+
+// Guards against new flows for upstreams that take none, and against searches
+// that pass them over.
+TEST_F(FlowRouterTest, DrainingAndWithdrawnUpstreamsKeepTheirFlowsOnly) {
+  Table.setState(1, UpstreamState::Draining);
+  Table.setState(3, UpstreamState::Suspect);
+  Table.setOut(1, true); // Upstreams 2, 4 and 6.
+  for (std::uint16_t caller = 1; caller <= 60; ++caller) {
+    const RelayDecision decision = send(firstPacket(caller));
+    ASSERT_EQ(decision.Agent, agentOf(5));
+    hold(caller, decision.Agent);
+  }
+  std::set<Endpoint> asked;
+  RelayDecision decision = send(dataPacket(500));
+  while (decision.Action == RelayAction::Forward) {
+    asked.insert(decision.Agent);
+    decision = giveBack(dataPacket(500), decision, ReturnReason::NotHeld);
+  }
+  EXPECT_EQ(asked.size(), 6U);
+}
+
+// Guards against a flow that is cut off when its route names another service.
+TEST_F(FlowRouterTest, FormerServicesAreAskedAfterThoseOfTheRoute) {
+  TableUpdate update;
+  update.Routes = {{RouteAddress, {{{2}, 1}}, {{1}}}};
+  Table.apply(std::move(update));
+  EXPECT_EQ(send(firstPacket(1)).Agent, agentOf(100));
+  RelayDecision decision = send(dataPacket(2));
+  EXPECT_EQ(decision.Agent, agentOf(100));
+  decision = giveBack(dataPacket(2), decision, ReturnReason::NotHeld);
+  EXPECT_EQ(decision.Action, RelayAction::Forward);
+  EXPECT_EQ(decision.Service, tagOfService("a"));
+}
+
+struct NoRouteCase {
+  const char *Name;
+  bool HasTable;
+  FlowPacket Packet;
+  RelayAction Expected;
+};
+
+class NoRouteTest : public testing::TestWithParam<NoRouteCase> {};
+
+// Guards against a caller that waits although nobody will ever answer, and
+// against a reset from a balancer that knows nothing yet.
+TEST_P(NoRouteTest, ActsByWhatItKnows) {
+  const NoRouteCase &it = GetParam();
+  const TestTable table(2);
+  TableFollower empty;
+  const auto router = makeFlowRouter({});
+  const RelayDecision decision = router->onCallerPacket(
+      it.Packet, it.HasTable ? *table : *empty.table(), TimePoint{});
+  EXPECT_EQ(decision.Action, it.Expected);
+}
+
+FlowPacket toNowhere(FlowPacket packet, bool resets = false) {
+  packet.Destination = {1, 1};
+  packet.Resets = resets;
+  return packet;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, NoRouteTest,
+    testing::Values(
+        NoRouteCase{"First", true, toNowhere(firstPacket(1)),
+                    RelayAction::Reset},
+        NoRouteCase{"Data", true, toNowhere(dataPacket(1)), RelayAction::Reset},
+        NoRouteCase{"OwnReset", true, toNowhere(dataPacket(1), true),
+                    RelayAction::Drop},
+        NoRouteCase{"FirstWithoutTable", false, firstPacket(1),
+                    RelayAction::Drop},
+        NoRouteCase{"DataWithoutTable", false, dataPacket(1),
+                    RelayAction::Drop}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
+// Guards against the pattern of a few upstreams with many flows beside others
+// with none, and against placements that ignore reported work.
+TEST_F(FlowRouterTest, PlacesByLoad) {
+  for (std::uint32_t id = 1; id <= 6; ++id)
+    hold(static_cast<std::uint16_t>(3000 + id), agentOf(id), 1,
+         {static_cast<std::uint16_t>(id == 4 ? 0 : 5), 10, 5});
+  EXPECT_EQ(send(firstPacket(1)).Agent, agentOf(4));
+  std::map<Endpoint, int> placed;
+  for (std::uint32_t id = 1; id <= 6; ++id)
+    hold(static_cast<std::uint16_t>(3000 + id), agentOf(id), 1, {0, 0, 5});
+  for (std::uint16_t caller = 10; caller < 250; ++caller)
+    ++placed[send(firstPacket(caller)).Agent];
+  // The upstreams of the own data centre are ahead by a fifth of their slots.
+  for (const auto &[agent, n] : placed) {
+    EXPECT_GE(n, 36);
+    EXPECT_LE(n, 44);
+  }
+  EXPECT_EQ(placed.size(), 6U);
+}
+
+// Guards against a refused first packet that is offered to the same upstream
+// again at once, and against a caller that is left to wait when all refuse.
+TEST_F(FlowRouterTest, DeclinedFlowsGoRoundOnce) {
+  std::set<Endpoint> asked;
+  RelayDecision decision = send(firstPacket(1));
+  while (decision.Action == RelayAction::Forward) {
+    EXPECT_TRUE(asked.insert(decision.Agent).second);
+    EXPECT_EQ(decision.Attempt, asked.size() - 1);
+    decision = giveBack(firstPacket(1), decision, ReturnReason::Declined, 1000);
+  }
+  EXPECT_EQ(asked.size(), 6U);
+  EXPECT_EQ(decision.Action, RelayAction::Reset);
+  EXPECT_EQ(decision.Reason, RelayReason::NoUpstream);
+  Now += Duration(1000);
+  EXPECT_EQ(send(firstPacket(2)).Action, RelayAction::Forward);
+}
+
+// Guards against copies of a first packet that follow one which a dead agent
+// has swallowed.
+TEST_F(FlowRouterTest, CopyOfAnUnansweredFirstPacketGoesElsewhere) {
+  const RelayDecision first = send(firstPacket(1));
+  EXPECT_EQ(send(firstPacket(1)).Agent, first.Agent);
+  Now += AnswerTimeout;
+  EXPECT_NE(send(firstPacket(1)).Agent, first.Agent);
+  // Nor do other flows go there for a while.
+  for (std::uint16_t caller = 2; caller < 30; ++caller)
+    EXPECT_NE(send(firstPacket(caller)).Agent, first.Agent);
+}
+
+// Guards against packets for the wrong one of two upstreams that both answered
+// a copy of the first packet: the caller's acknowledgement tells them apart.
+TEST_F(FlowRouterTest, AcknowledgementTellsTheHolder) {
+  hold(1, agentOf(1), 5000);
+  hold(1, agentOf(2), 900'000'000);
+  EXPECT_EQ(send(dataPacket(1, 900'000'001)).Agent, agentOf(2));
+  EXPECT_EQ(send(dataPacket(1, 900'000'500)).Agent, agentOf(2));
+  EXPECT_EQ(send(dataPacket(1, 5001)).Agent, agentOf(1));
+}
+
+// Guards against a table of flows that grows without bound.
+TEST_F(FlowRouterTest, FlowsAreBoundedAndForgotten) {
+  Router = makeFlowRouter({.DataCentre = "x", .MaxFlows = 10});
+  for (std::uint16_t caller = 1; caller <= 30; ++caller) {
+    Now += Duration(1);
+    send(firstPacket(caller));
+  }
+  EXPECT_EQ(Router->flowCount(), 10U);
+  Now += FlowRouterOptions{}.FlowIdle;
+  Router->tick(Now);
+  EXPECT_EQ(Router->flowCount(), 0U);
+}
+
+// Guards against a split that does not follow the weights.
+TEST_F(FlowRouterTest, SplitsByWeight) {
+  TableUpdate update;
+  update.Routes = {{RouteAddress, {{{1}, 90}, {{2}, 10}}, {}}};
+  Table.apply(std::move(update));
+  int second = 0;
+  for (std::uint16_t caller = 1; caller <= 4000; ++caller)
+    second += send(firstPacket(caller)).Service == tagOfService("b") ? 1 : 0;
+  // Five standard deviations of 4000 draws with a chance of 0.1 are 95.
+  EXPECT_NEAR(second, 400, 95);
+}
+
+} // namespace
+} // namespace pistachio
--- /dev/null
+++ b/Source/UnitTests/Relay/RelayWorld.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Relay/Relay.h"
+#include "Routing/Routing.h"
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pistachio {
+
+/// Opaque packets of the tests: the header as it lies in memory.
+class TestFormat final : public PacketFormat {
+public:
+  std::optional<FlowPacket>
+  decode(std::span<const std::byte> buf) const override {
+    if (buf.size() != sizeof(FlowPacket))
+      return std::nullopt;
+    FlowPacket packet;
+    std::memcpy(&packet, buf.data(), sizeof(packet));
+    return packet;
+  }
+  void setTag(std::span<std::byte> buf, std::uint32_t tag) const override {
+    edit(buf, [&](FlowPacket &it) { it.Tag = tag; });
+  }
+  void clearReturn(std::span<std::byte> buf) const override {
+    edit(buf, [](FlowPacket &it) {
+      it.Tag = 0;
+      it.Returned = false;
+    });
+  }
+  Bytes makeReset(const FlowPacket &packet) const override {
+    FlowPacket reset;
+    reset.Source = packet.Destination;
+    reset.Destination = packet.Source;
+    reset.Resets = true;
+    reset.Sequence = packet.Acknowledgement;
+    return encode(reset);
+  }
+  static Bytes encode(const FlowPacket &packet) {
+    Bytes buf(sizeof(packet));
+    std::memcpy(buf.data(), &packet, sizeof(packet));
+    return buf;
+  }
+
+private:
+  template <typename Edit> static void edit(std::span<std::byte> buf, Edit it) {
+    FlowPacket packet;
+    std::memcpy(&packet, buf.data(), sizeof(packet));
+    it(packet);
+    std::memcpy(buf.data(), &packet, sizeof(packet));
+  }
+};
+
+inline constexpr Endpoint RouteAddress{0xC6120001, 443};
+inline constexpr Endpoint OtherRoute{0xC6120002, 443};
+
+inline Endpoint callerOf(std::uint16_t n) {
+  return {0x64400001, static_cast<std::uint16_t>(1000 + n)};
+}
+
+inline Endpoint agentOf(std::uint32_t id) { return {0x0A000000 + id, 7000}; }
+
+inline FlowPacket firstPacket(std::uint16_t caller,
+                              const Endpoint &route = RouteAddress) {
+  FlowPacket packet;
+  packet.Source = callerOf(caller);
+  packet.Destination = route;
+  packet.Opens = true;
+  return packet;
+}
+
+inline FlowPacket dataPacket(std::uint16_t caller,
+                             std::uint32_t acknowledgement = 0,
+                             std::uint32_t sequence = 1) {
+  FlowPacket packet;
+  packet.Source = callerOf(caller);
+  packet.Destination = RouteAddress;
+  packet.Acknowledges = true;
+  packet.Acknowledgement = acknowledgement;
+  packet.Sequence = sequence;
+  packet.DataBytes = 10;
+  return packet;
+}
+
+/// A table with service 1 ("a", upstreams 1 to \p n), service 2 ("b", upstream
+/// 100) and a route to each. Upstreams alternate between the data centres "x"
+/// and "y".
+class TestTable {
+public:
+  explicit TestTable(std::uint32_t n) {
+    TableUpdate update;
+    update.Services = {{{1}, "a", {}}, {{2}, "b", {}}};
+    update.DataCentres = {{{1}, "x", false}, {{2}, "y", false}};
+    for (std::uint32_t id = 1; id <= n; ++id)
+      update.Upstreams.push_back(upstream(id, 1));
+    update.Upstreams.push_back(upstream(100, 2));
+    update.Routes = {{RouteAddress, {{{1}, 1}}, {}},
+                     {OtherRoute, {{{2}, 1}}, {}}};
+    apply(std::move(update));
+  }
+
+  static UpstreamRecord upstream(std::uint32_t id, std::uint32_t service) {
+    return {{id},        {service}, {static_cast<std::uint16_t>(1 + id % 2)},
+            agentOf(id), {1},       UpstreamState::Active};
+  }
+
+  void apply(TableUpdate update) {
+    update.From = At;
+    update.To = At = Revision{At.Value + 1};
+    if (const auto applied = Follower.apply(update); !applied.ok() || !*applied)
+      throw std::logic_error("the update does not apply");
+  }
+  void setState(std::uint32_t id, UpstreamState state) {
+    TableUpdate update;
+    update.Upstreams = {upstream(id, id == 100 ? 2 : 1)};
+    update.Upstreams[0].State = state;
+    apply(std::move(update));
+  }
+  void setOut(std::uint16_t dataCentre, bool out) {
+    TableUpdate update;
+    update.DataCentres = {{{dataCentre}, dataCentre == 1 ? "x" : "y", out}};
+    apply(std::move(update));
+  }
+
+  const ServiceTable &operator*() const { return *Follower.table(); }
+
+private:
+  TableFollower Follower;
+  Revision At;
+};
+
+} // namespace pistachio
--- a/Source/UnitTests/Rules/RulesTest.cpp
+++ b/Source/UnitTests/Rules/RulesTest.cpp
@@ -55,6 +55,40 @@
   EXPECT_EQ(rules.text(), Valid);
 }
 
+// Guards against routes and services without an address that lose a field, and
+// against lines that are written otherwise than they are read.
+TEST(RulesTest, RoutingIsReadAsItIsWritten) {
+  ServiceRule alpha{"alpha", {}, 5, 2.5};
+  ServiceRule beta{"beta", {0x0A000001, 443}, 7, {}};
+  const RouteRule route{"r-1", {0x0A000002, 444}, {{"alpha", 90}, {"beta", 0}}};
+  const std::string text =
+      formatRouting(std::vector{alpha, beta}, std::vector{route}, "Tiina");
+  const RuleSet rules = parseValid(text);
+  ASSERT_EQ(rules.services().size(), 2U);
+  EXPECT_EQ(rules.services()[0].Address.Port, 0);
+  EXPECT_EQ(rules.services()[0].ColdPerSecond, 2.5);
+  EXPECT_EQ(rules.services()[1].Address, beta.Address);
+  EXPECT_EQ(rules.services()[1].ColdPerSecond, std::nullopt);
+  ASSERT_EQ(rules.routes().size(), 1U);
+  EXPECT_EQ(rules.routes()[0].Address, route.Address);
+  ASSERT_EQ(rules.routes()[0].Targets.size(), 2U);
+  EXPECT_EQ(rules.routes()[0].Targets[0].Weight, 90U);
+  EXPECT_EQ(rules.lines()[2].AskedBy, "Tiina");
+}
+
+// Guards against replaced lines that stay or others that go.
+TEST(RulesTest, ReplacesLinesOfAKind) {
+  constexpr std::string_view Kinds[] = {"service", "limit", "objective",
+                                        "team"};
+  const std::string text =
+      replaceRules(parseValid(Valid), Kinds, "datacentre new # asked by X\n");
+  const RuleSet rules = parseValid(text);
+  EXPECT_TRUE(rules.services().empty());
+  EXPECT_EQ(rules.dataCentres().size(), 3U);
+  EXPECT_EQ(rules.out().size(), 1U);
+  EXPECT_TRUE(text.starts_with("# Valukoda\n"));
+}
+
 // The rule set of a new control group.
 TEST(RulesTest, AcceptsEmptyText) {
   EXPECT_TRUE(parseValid("").lines().empty());
@@ -92,6 +126,19 @@
 }
 
 const FindingCase FindingCases[] = {
+    {"RouteToUnknownService", "route r address 1.2.3.4:5 to a weight 1",
+     "1:30: unknown service 'a'"},
+    {"RouteWithoutWeight",
+     "service a slots 1\nroute r address 1.2.3.4:5 to a weight 0",
+     "2:39: all weights of the route are 0"},
+    {"RouteAtTheAddressOfAnother",
+     "service a slots 1\nroute r address 1.2.3.4:5 to a weight 1\n"
+     "route s address 1.2.3.4:5 to a weight 1",
+     "3:17: duplicate address '1.2.3.4:5', first given in line 2"},
+    {"RouteWithoutTarget", "route r address 1.2.3.4:5 to",
+     "1:29: missing service; expected: route"},
+    {"ColdRateNegative", "service a slots 1 cold-rate -1",
+     "1:29: cold rate '-1' is not a number from 0"},
     {"UnknownKind", "srevice a", "1:1: unknown kind of rule 'srevice'"},
     {"NoComment", "datacentre a", "1:13: the comment '# asked by NAME' is",
      true},
--- /dev/null
+++ b/Source/UnitTests/Runtime/HttpServerTest.cpp
@@ -0,0 +1,89 @@
+#include "Runtime/Runtime.h"
+
+#include "RunUntil.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <fstream>
+#include <unistd.h>
+
+namespace pistachio {
+namespace {
+
+using boost::asio::ip::tcp;
+
+struct HttpCase {
+  const char *Name;
+  /// The failure that the row guards against.
+  const char *Guards;
+  std::string Request;
+  /// Start of the answer.
+  std::string Expected;
+};
+
+class HttpServerTest : public testing::TestWithParam<HttpCase> {};
+
+TEST_P(HttpServerTest, Answers) {
+  const HttpCase &it = GetParam();
+  boost::asio::io_context context(1);
+  auto server = listenHttp(
+      context, {0x7F000001, 0},
+      [](const HttpCall &call, const std::function<void(HttpReply)> &reply) {
+        reply({202, call.Method + " " + call.Target + " " + call.Body});
+      });
+  ASSERT_TRUE(server.ok()) << server.status();
+  tcp::socket socket(context);
+  socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"),
+                  (*server)->endpoint().Port});
+  boost::asio::write(socket, boost::asio::buffer(it.Request));
+  socket.shutdown(tcp::socket::shutdown_send);
+  std::string answer;
+  bool ended = false;
+  boost::asio::async_read(
+      socket, boost::asio::dynamic_buffer(answer),
+      [&](boost::system::error_code, std::size_t) { ended = true; });
+  ASSERT_TRUE(runUntil(context, [&] { return ended; }));
+  EXPECT_EQ(answer.substr(0, it.Expected.size()), it.Expected) << it.Guards;
+  if (it.Expected.find("202") != std::string::npos) {
+    EXPECT_TRUE(answer.ends_with("PUT /a body")) << answer;
+  }
+  (*server)->stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, HttpServerTest,
+    testing::Values(
+        HttpCase{"Call", "a call that loses its body",
+                 "PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody",
+                 "HTTP/1.1 202"},
+        HttpCase{"Malformed", "a malformed request that hangs",
+                 "PUT /a HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
+        HttpCase{"TooLarge", "a body that takes all memory",
+                 "PUT /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+                 "HTTP/1.1 413"},
+        HttpCase{"CutOff", "a call that is carried out in part",
+                 "PUT /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nbod", ""}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
+// Guards against settings that change without a signal and are never read.
+TEST(FileWatchTest, NoticesAReplacedFile) {
+  const std::string path =
+      testing::TempDir() + "/watch-" + std::to_string(::getpid());
+  std::ofstream(path) << "one";
+  boost::asio::io_context context(1);
+  int changes = 0;
+  const auto watch = watchFile(context, path, [&] { ++changes; });
+  std::ofstream(path + ".new") << "other";
+  ASSERT_EQ(std::rename((path + ".new").c_str(), path.c_str()), 0);
+  EXPECT_TRUE(runUntil(context, [&] { return changes > 0; }));
+  EXPECT_EQ(changes, 1);
+  watch->stop();
+  ::unlink(path.c_str());
+}
+
+} // namespace
+} // namespace pistachio
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -99,6 +99,39 @@
 secret = "0123456789abcdef"
 )";
 
+constexpr std::string_view RelayBalancer = R"(mode = "relay"
+name = "b1"
+data_centre = "dc-a"
+listen = "10.0.0.1:5000"
+ready = "10.0.0.1:5001"
+ports = [7000, 7015]
+seeds = ["10.0.0.2:9000", "10.0.0.3:9000"]
+)";
+constexpr std::string_view RelayAgent = R"(mode = "relay"
+service = "a"
+data_centre = "dc-a"
+zone = "z1"
+machine = "m1"
+listen = "10.0.0.1:5000"
+outbound = "10.0.0.1:5002"
+reports = "10.0.0.1:5003"
+back_end = "10.0.0.1:8080"
+report_ms = 1200
+cold_overshoot = 1.5
+cold_slack = 5
+ports = [7000, 7015]
+seeds = ["10.0.0.2:9000"]
+)";
+constexpr std::string_view SeededControl = R"(name = "c1"
+data_centre = "dc-a"
+operator_api = "10.0.0.1:5004"
+ports = [7000, 7015]
+seeds = ["10.0.0.2:9000"]
+data_folder = "data"
+found_group = true
+data_centres = ["dc-a", "dc-b"]
+)";
+
 struct SettingsCase {
   std::string_view Name;
   std::string_view Base;
@@ -123,9 +156,9 @@
   std::ofstream(path) << text;
   Findings findings;
   bool loaded = false;
-  if (it.Base == Balancer)
+  if (it.Base == Balancer || it.Base == RelayBalancer)
     loaded = loadBalancerSettings(path, findings).has_value();
-  else if (it.Base == Agent)
+  else if (it.Base == Agent || it.Base == RelayAgent)
     loaded = loadAgentSettings(path, findings).has_value();
   else
     loaded = loadControlSettings(path, findings).has_value();
@@ -196,6 +229,26 @@
      "12:11: members.address: duplicate address"},
     {"MemberWithoutAddress", Control, "address = \"127.0.0.1:5003\"\n", "",
      "7:1: members.address: the key is missing|7:1: members: 'c1', this"},
+    {"RelayBalancer", RelayBalancer, "", "", ""},
+    {"RelayAgent", RelayAgent, "", "", ""},
+    {"SeededControl", SeededControl, "", "", ""},
+    {"RelayWithoutDisk", SeededControl, "data_folder = \"data\"\n", "", ""},
+    {"UnknownMode", RelayBalancer, "\"relay\"", "\"proxy\"",
+     "1:1: metrics: the key is missing|1:1: control: the key is missing"
+     "|1:8: mode: one of requests, relay|5:1: unknown key 'ready'"
+     "|6:1: unknown key 'ports'|7:1: unknown key 'seeds'"},
+    {"PortsReversed", RelayBalancer, "[7000, 7015]", "[7015, 7000]",
+     "6:9: ports: an array of the first and the last port"},
+    {"PortsAreText", RelayBalancer, "[7000, 7015]", "\"7000\"",
+     "6:9: ports: an array of the first and the last port"},
+    {"SeedWithoutPort", RelayAgent, "10.0.0.2:9000", "10.0.0.2",
+     "14:10: seeds: '10.0.0.2' is not an IPv4 endpoint"},
+    {"SlackNegative", RelayAgent, "cold_slack = 5", "cold_slack = -5",
+     "12:14: cold_slack: a number from 0"},
+    {"FoundGroupIsText", SeededControl, "true", "\"yes\"",
+     "7:15: found_group: true or false is needed"},
+    {"DataCentreName", SeededControl, "dc-b", "DC b",
+     "8:25: data_centres: a name is needed"},
     {"NoCredentials", Control, "[[credentials]]\nteam = \"operators\"\nsecret",
      "x", "1:1: credentials: the key|10:1: unknown key 'members.x'"},
     {"ShortSecret", Control, "0123456789abcdef", "short",
@@ -217,6 +270,27 @@
                            return std::string(info.param.Name);
                          });
 
+// Guards against ports that differ between the processes of one deployment.
+TEST(SettingsFileTest, RelaySettingsShareAPortRange) {
+  const TestFolder folder;
+  const auto write = [&](std::string_view text) {
+    std::ofstream(folder.Path + "/s.toml") << text;
+    return folder.Path + "/s.toml";
+  };
+  Findings findings;
+  const auto balancer = loadBalancerSettings(write(RelayBalancer), findings);
+  const auto agent = loadAgentSettings(write(RelayAgent), findings);
+  const auto control = loadControlSettings(write(SeededControl), findings);
+  ASSERT_TRUE(balancer && agent && control) << findings.format();
+  EXPECT_EQ(toString(balancer->Inner), "10.0.0.1:7000");
+  EXPECT_EQ(balancer->Control[0].Port, control->Nodes.Port);
+  EXPECT_EQ(agent->Control[0].Port, control->Nodes.Port);
+  EXPECT_EQ(control->Seeds[0].Port, control->Peers.Port);
+  EXPECT_NE(control->Nodes.Port, control->Peers.Port);
+  EXPECT_TRUE(control->FoundGroup);
+  EXPECT_EQ(control->DataCentres.size(), 2U);
+}
+
 // Guards against a file that cannot be read being taken for an empty one.
 TEST(SettingsFileTest, ReportsUnreadableAndOverlongFiles) {
   const TestFolder testFolder;
