Write bounded log lines to standard output

Ruled out: the layout kept by the base class of log4cxx's appenders.

Change: an appender that drops and counts a line for which the output has no room, a limit for each event with a line that counts what was left out, and a line at the agent for each flow that its upstream takes.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -201,6 +201,13 @@
       continue;
     }
     Inner->send(Output, it.To);
+    if (const auto *held = std::get_if<FlowHeld>(&message))
+      logEvent(LogLevel::Info, "flow_held", "",
+               {{"flow", toString(FlowEnds{held->Caller, held->Service})},
+                {"first_sequence", std::to_string(held->FirstSequence)},
+                {"balancer", toString(it.To)},
+                {"busy", std::to_string(held->Load.Busy)},
+                {"flows", std::to_string(held->Load.Flows)}});
     if (const auto *returned = std::get_if<ReturnedPacket>(&message)) {
       const auto packet = Format->decode(returned->Packet);
       logEvent(
--- a/Source/Core/Telemetry/Log.cpp
+++ b/Source/Core/Telemetry/Log.cpp
@@ -2,12 +2,15 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "Telemetry/StdoutAppender.h"
+
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
 
+#include <chrono>
+#include <mutex>
 #include <vector>
 
 namespace pistachio {
@@ -32,6 +35,19 @@
   return log4cxx::Level::getInfo();
 }
 
+/// Shared by the threads of the process; the mutex is held for the decision
+/// only, not while a line is written.
+struct Limits {
+  std::mutex Mutex;
+  LogLimiter Limiter{LogLimiter::Options{}};
+  std::shared_ptr<logging::StdoutAppender> Appender;
+};
+
+Limits &processLimits() {
+  static Limits All;
+  return All;
+}
+
 /// Sets context fields of this thread and removes them again.
 class ContextFields {
 public:
@@ -54,10 +70,12 @@
 } // namespace
 
 void startLogging(std::string_view processName, LogLevel level) {
-  const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::JSONLayout>();
-  const log4cxx::AppenderPtr appender =
-      std::make_shared<log4cxx::ConsoleAppender>(
-          layout, log4cxx::ConsoleAppender::getSystemErr());
+  const auto appender = std::make_shared<logging::StdoutAppender>(
+      std::make_shared<log4cxx::JSONLayout>());
+  {
+    const std::lock_guard lock(processLimits().Mutex);
+    processLimits().Appender = appender;
+  }
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   processLogger() = log4cxx::Logger::getLogger(std::string(processName));
@@ -78,17 +96,44 @@
                    "' is not a log level; use debug, info, warning or error"));
 }
 
-void logEvent(LogLevel level, std::string_view event, std::string_view message,
-              std::initializer_list<LogField> fields) {
-  const log4cxx::LevelPtr log4cxxLevel = toLog4cxx(level);
-  if (!processLogger()->isEnabledFor(log4cxxLevel))
-    return;
+namespace {
+
+void writeLine(LogLevel level, std::string_view event, std::string_view message,
+               std::initializer_list<LogField> fields) {
   ContextFields context;
   context.put("event", std::string(event));
   for (const LogField &it : fields)
     context.put(it.Key, it.Value);
-  processLogger()->forcedLog(log4cxxLevel, std::string(message),
+  processLogger()->forcedLog(toLog4cxx(level), std::string(message),
                              LOG4CXX_LOCATION);
 }
 
+} // namespace
+
+void logEvent(LogLevel level, std::string_view event, std::string_view message,
+              std::initializer_list<LogField> fields) {
+  if (!processLogger()->isEnabledFor(toLog4cxx(level)))
+    return;
+  const auto now =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  bool isAdmitted = false;
+  std::vector<LogLimiter::Suppressed> suppressed;
+  {
+    Limits &limits = processLimits();
+    const std::lock_guard lock(limits.Mutex);
+    isAdmitted = limits.Limiter.admit(event, now);
+    suppressed = limits.Limiter.takeSuppressed(now);
+    if (const std::uint64_t dropped =
+            limits.Appender ? limits.Appender->takeDropped() : 0;
+        dropped > 0)
+      suppressed.push_back({"any", dropped});
+  }
+  for (const LogLimiter::Suppressed &it : suppressed)
+    writeLine(LogLevel::Warning, "log_suppressed",
+              "lines beyond the bound were left out",
+              {{"left_out", it.Event}, {"lines", std::to_string(it.Lines)}});
+  if (isAdmitted)
+    writeLine(level, event, message, fields);
+}
+
 } // namespace pistachio
--- /dev/null
+++ b/Source/Core/Telemetry/LogLimiter.cpp
@@ -0,0 +1,40 @@
+#include "Telemetry/Telemetry.h"
+
+#include <algorithm>
+
+namespace pistachio {
+namespace {
+
+constexpr Duration ReportInterval{1000};
+
+} // namespace
+
+bool LogLimiter::admit(std::string_view event, TimePoint now) {
+  auto it = Events.find(event);
+  if (it == Events.end())
+    it = Events.emplace(std::string(event), State{Limits.Burst, now, 0}).first;
+  State &state = it->second;
+  const double seconds = static_cast<double>((now - state.At).count()) / 1000;
+  state.Tokens =
+      std::min(Limits.Burst, state.Tokens + seconds * Limits.PerSecond);
+  state.At = now;
+  if (state.Tokens < 1) {
+    ++state.LeftOut;
+    return false;
+  }
+  state.Tokens -= 1;
+  return true;
+}
+
+std::vector<LogLimiter::Suppressed> LogLimiter::takeSuppressed(TimePoint now) {
+  std::vector<Suppressed> all;
+  if (now - ReportedAt < ReportInterval)
+    return all;
+  ReportedAt = now;
+  for (auto &[event, state] : Events)
+    if (state.LeftOut > 0)
+      all.push_back({event, std::exchange(state.LeftOut, 0)});
+  return all;
+}
+
+} // namespace pistachio
--- a/Source/Core/Telemetry/Telemetry.h
+++ b/Source/Core/Telemetry/Telemetry.h
@@ -10,10 +10,12 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace pistachio {
 
@@ -24,8 +26,44 @@
   std::string Value;
 };
 
-/// Starts logging to standard error. One JSON object a line: timestamp, level,
-/// logger, message and the context map with "event" and the fields.
+/// Bounds the log lines of each event, so that a burst neither costs the
+/// process its time nor hides other events.
+class LogLimiter {
+public:
+  struct Options {
+    /// Lines of one event that may come at once.
+    double Burst = 200;
+    double PerSecond = 50;
+  };
+  struct Suppressed {
+    std::string Event;
+    std::uint64_t Lines = 0;
+  };
+
+  explicit LogLimiter(Options options) : Limits(options) {}
+
+  /// False if the line is left out.
+  bool admit(std::string_view event, TimePoint now);
+  /// What was left out since the last call; empty more often than once a
+  /// second.
+  std::vector<Suppressed> takeSuppressed(TimePoint now);
+
+private:
+  struct State {
+    double Tokens = 0;
+    TimePoint At{};
+    std::uint64_t LeftOut = 0;
+  };
+
+  Options Limits;
+  std::map<std::string, State, std::less<>> Events;
+  TimePoint ReportedAt{};
+};
+
+/// Starts logging to standard output. One JSON object a line: timestamp, level,
+/// logger, message and the context map with "event" and the fields. A line that
+/// the reader of the output has no room for is dropped and counted; the process
+/// never waits for it.
 void startLogging(std::string_view processName, LogLevel level);
 
 absl::StatusOr<LogLevel> parseLogLevel(std::string_view text);
--- /dev/null
+++ b/Source/UnitTests/Telemetry/LogTest.cpp
@@ -0,0 +1,76 @@
+#include "Telemetry/Telemetry.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string>
+#include <unistd.h>
+
+namespace pistachio {
+namespace {
+
+/// Standard output of the process as a pipe that nobody has to read.
+class PipedOutput {
+public:
+  PipedOutput() : Former(::dup(STDOUT_FILENO)) {
+    std::fflush(stdout);
+    if (::pipe(Ends.data()) != 0 || ::dup2(Ends[1], STDOUT_FILENO) < 0)
+      throw std::runtime_error("cannot make a pipe");
+  }
+  ~PipedOutput() {
+    ::dup2(Former, STDOUT_FILENO);
+    for (const int it : {Former, Ends[0], Ends[1]})
+      ::close(it);
+  }
+  PipedOutput(const PipedOutput &) = delete;
+  PipedOutput &operator=(const PipedOutput &) = delete;
+
+  std::string read() const {
+    std::string text(65536, '\0');
+    const auto n = ::read(Ends[0], text.data(), text.size());
+    text.resize(n < 0 ? 0 : static_cast<std::size_t>(n));
+    return text;
+  }
+  /// Leaves no room for a line.
+  void fill() const {
+    const std::string block(4096, '.');
+    for (int i = 0; i < 16; ++i)
+      ASSERT_EQ(::write(Ends[1], block.data(), block.size()), 4096);
+  }
+
+private:
+  int Former;
+  std::array<int, 2> Ends{};
+};
+
+// Guards against lines that go elsewhere or lose their fields.
+TEST(LogTest, WritesJsonLinesToStandardOutput) {
+  const PipedOutput output;
+  startLogging("pistachio-test", LogLevel::Info);
+  logEvent(LogLevel::Debug, "hidden", "below the level");
+  logEvent(LogLevel::Info, "sample_event", "a message", {{"key", "value"}});
+  const std::string text = output.read();
+  EXPECT_EQ(text.find("hidden"), std::string::npos);
+  EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1);
+  for (const char *part : {"\"event\": \"sample_event\"", "\"key\": \"value\"",
+                           "\"a message\"", "pistachio-test"})
+    EXPECT_NE(text.find(part), std::string::npos) << text;
+}
+
+// Guards against a process that stands still because nobody reads its log.
+TEST(LogTest, NeverWaitsForTheReader) {
+  const PipedOutput output;
+  startLogging("pistachio-test", LogLevel::Info);
+  output.fill();
+  for (int i = 0; i < 10; ++i)
+    logEvent(LogLevel::Info, "lost_event", "no room");
+  EXPECT_EQ(output.read().find("lost_event"), std::string::npos);
+  logEvent(LogLevel::Info, "later_event", "room again");
+  const std::string text = output.read();
+  EXPECT_NE(text.find("later_event"), std::string::npos) << text;
+}
+
+} // namespace
+} // namespace pistachio
