Publish at once what a restarted control instance knows to be committed

Cause: after a loss of all instances, balancers had no table until an election was over, 0.7 to 1.1 s after the start, although every member had the committed entries on its disk.

Ruled out: publishing all entries of the log (an entry that was never committed could be in force and vanish), shorter election timeouts (a paused process would cause elections).

Change: the storage keeps a note of the committed index, written without a sync at most every 200 ms; a restarted member hands out the entries up to it at its first step. Mode requests still waits for a lease.

--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -80,6 +80,13 @@
   /// Stores the snapshot and drops the entries that it covers.
   virtual absl::Status saveSnapshot(const Snapshot &snapshot) = 0;
   virtual absl::Status sync() = 0;
+
+  /// Entries up to here were committed when this was last noted; 0 if unknown.
+  /// A lower bound, which may be lost: it is written without a sync.
+  virtual std::uint64_t committedBound() const { return 0; }
+  virtual absl::Status noteCommitted(std::uint64_t /*index*/) {
+    return absl::OkStatus();
+  }
 };
 
 /// Opens or creates the storage in \p folder. A torn last record is dropped; a
--- a/Source/Core/Consensus/FileStorage/FileLogStorage.cpp
+++ b/Source/Core/Consensus/FileStorage/FileLogStorage.cpp
@@ -14,6 +14,9 @@
 
 constexpr const char *IdentityName = "identity";
 constexpr const char *LockName = "lock";
+/// Index (8) and checksum (4), little endian; overwritten in place.
+constexpr const char *CommittedName = "committed";
+constexpr std::size_t CommittedBytes = 12;
 constexpr std::size_t IdentityBytes = 12;
 
 std::string snapshotName(std::uint64_t lastIndex) {
@@ -157,8 +160,11 @@
   }
   absl::Status saveSnapshot(const Snapshot &snapshot) override;
   absl::Status sync() override;
+  std::uint64_t committedBound() const override { return Committed; }
+  absl::Status noteCommitted(std::uint64_t index) override;
 
 private:
+  void loadCommitted();
   absl::Status loadSnapshot(std::span<const std::uint64_t> indexes);
 
   const std::string Folder;
@@ -167,6 +173,9 @@
   SegmentLog Log;
   /// The whole log in memory; serves all reads.
   MemoryLogStorage Image;
+  /// Open from the first note on.
+  std::optional<File> CommittedFile;
+  std::uint64_t Committed = 0;
 };
 
 absl::Status
@@ -191,6 +200,7 @@
 }
 
 absl::Status FileLogStorage::load(const FolderContent &content) {
+  loadCommitted();
   if (absl::Status status = loadSnapshot(content.Snapshots); !status.ok())
     return status;
   const auto entries = Log.open(content.Segments);
@@ -256,6 +266,29 @@
   return status.ok() ? Image.saveSnapshot(snapshot) : status;
 }
 
+/// A missing or damaged note is none.
+void FileLogStorage::loadCommitted() {
+  const auto file = File::open(Folder + "/" + CommittedName, O_RDONLY);
+  const auto buf = file.ok() ? file->readAll() : file.status();
+  if (!buf.ok() || buf->size() != CommittedBytes)
+    return;
+  if (loadLittle(buf->data() + 8, 4) == checksum32(std::span(*buf).first(8)))
+    Committed = loadLittle(buf->data(), 8);
+}
+
+absl::Status FileLogStorage::noteCommitted(std::uint64_t index) {
+  if (!CommittedFile) {
+    auto file = File::open(Folder + "/" + CommittedName, O_RDWR | O_CREAT);
+    if (!file.ok())
+      return file.status();
+    CommittedFile = *std::move(file);
+  }
+  Bytes buf(CommittedBytes);
+  storeLittle(buf.data(), index, 8);
+  storeLittle(buf.data() + 8, checksum32(std::span(buf).first(8)), 4);
+  return CommittedFile->writeAt(0, buf);
+}
+
 absl::Status FileLogStorage::sync() {
   if (absl::Status status = Log.sync(); !status.ok())
     return status;
--- a/Source/Core/Consensus/Node.cpp
+++ b/Source/Core/Consensus/Node.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::uint64_t BootstrapTerm = 1;
+/// Bounds the writes of the note; a restart within it begins with a table that
+/// is at most this much older.
+constexpr Duration CommitNoteInterval{200};
 constexpr std::size_t LoadBatchEntries = 1024;
 constexpr std::size_t NoByteLimit = std::numeric_limits<std::size_t>::max();
 
@@ -21,6 +24,11 @@
   if (ToRestore)
     CommitIndex = AppliedIndex = ToRestore->LastIndex;
   loadConfigurations();
+  // What was committed before is handed out at once, so that nodes get the last
+  // known table before the first election.
+  NotedCommit = Storage.committedBound();
+  if (!Configurations.empty())
+    commitTo(NotedCommit);
   resetElectionDeadline(now);
   // A group of one has nobody to wait for, unless a removal that is not
   // committed yet made it one: then the former leader may still hold a lease.
@@ -122,6 +130,7 @@
   if (CurrentRole != Role::Leader && now >= ElectionDeadline)
     startPreVote(now, output);
   emitCommitted(output);
+  noteCommit(now);
   return output;
 }
 
@@ -195,6 +204,16 @@
   CommitIndex = std::max(CommitIndex, std::min(index, Storage.lastIndex()));
 }
 
+void Node::noteCommit(TimePoint now) {
+  if (CommitIndex == NotedCommit || now - NotedAt < CommitNoteInterval)
+    return;
+  NotedAt = now;
+  NotedCommit = CommitIndex;
+  // Without the note the next start only waits for an election, so a failure is
+  // no reason to stop. A disk that fails shows at the next append.
+  (void)Storage.noteCommitted(CommitIndex);
+}
+
 void Node::emitCommitted(ConsensusOutput &output) {
   while (Health.ok() && AppliedIndex < CommitIndex) {
     const auto n = static_cast<std::size_t>(CommitIndex - AppliedIndex);
--- a/Source/Core/Consensus/Node.h
+++ b/Source/Core/Consensus/Node.h
@@ -90,6 +90,7 @@
   void truncate(std::uint64_t index);
   absl::Status requireLeader() const;
   void commitTo(std::uint64_t index);
+  void noteCommit(TimePoint now);
   void emitCommitted(ConsensusOutput &output);
   const std::vector<Member> &config() const;
   std::optional<Member> find(MemberId id) const;
@@ -176,6 +177,9 @@
   std::uint64_t CommitIndex = 0;
   /// Last entry that was handed out.
   std::uint64_t AppliedIndex = 0;
+  /// The bound that the storage holds, and when it was written.
+  std::uint64_t NotedCommit = 0;
+  TimePoint NotedAt;
   std::optional<Snapshot> ToRestore;
   std::optional<IncomingSnapshot> Incoming;
 
--- a/Source/UnitTests/Consensus/NodeTest.cpp
+++ b/Source/UnitTests/Consensus/NodeTest.cpp
@@ -1,4 +1,5 @@
 #include "GroupDriver.h"
+#include "TemporaryFolder.h"
 
 #include <gtest/gtest.h>
 
@@ -160,6 +161,34 @@
             absl::StatusCode::kFailedPrecondition);
 }
 
+// Guards against nodes that get no table until an election is over, although a
+// member knows what was committed.
+TEST(NodeTest, RestartedMemberHandsOutWhatWasCommitted) {
+  const TemporaryFolder folder;
+  const TimePoint now{Duration(1000)};
+  std::vector<Member> members;
+  {
+    auto storage = *openFileLogStorage(folder.path());
+    members = {{storage->identity(), {1, 1}, true},
+               {MemberId{2}, {1, 2}, true},
+               {MemberId{3}, {1, 3}, true}};
+    ConsensusOptions options;
+    options.InitialMembers = members;
+    const auto node = makeConsensusNode(options, *storage, now);
+    AppendRequest append{MemberId{2}, 2, 1, 1, 3, 1, {}};
+    append.Entries = logEntries(2, 3, 2);
+    EXPECT_EQ(node->receive(append, now).Committed.size(), 3U);
+    node->tick(now + Duration(200));
+  }
+  auto storage = *openFileLogStorage(folder.path());
+  const auto node = makeConsensusNode({}, *storage, now);
+  const ConsensusOutput output = node->tick(now);
+  // Entry 4 was in the log, and nobody has said that it is committed.
+  ASSERT_EQ(output.Committed.size(), 3U);
+  EXPECT_EQ(output.Committed.back().Index, 3U);
+  EXPECT_EQ(node->role(), Role::Follower);
+}
+
 // Guards against requests that outgrow the message bound when entries are
 // large, and against a log that stops at one of them.
 TEST(NodeTest, LargestEntriesAreReplicated) {
--- a/Source/UnitTests/Consensus/StorageTest.cpp
+++ b/Source/UnitTests/Consensus/StorageTest.cpp
@@ -75,6 +75,22 @@
                            return it.param ? "File" : "Memory";
                          });
 
+// Guards against a note of the committed entries that is lost at a restart, or
+// that is believed when it is damaged.
+TEST(FileStorageTest, KeepsTheNoteOfCommittedEntries) {
+  const TemporaryFolder folder;
+  {
+    auto storage = openFileLogStorage(folder.path());
+    ASSERT_TRUE(storage.ok());
+    EXPECT_EQ((*storage)->committedBound(), 0U);
+    ASSERT_TRUE((*storage)->noteCommitted(300).ok());
+    ASSERT_TRUE((*storage)->noteCommitted(70000).ok());
+  }
+  EXPECT_EQ((*openFileLogStorage(folder.path()))->committedBound(), 70000U);
+  std::filesystem::resize_file(folder.file("committed"), 5);
+  EXPECT_EQ((*openFileLogStorage(folder.path()))->committedBound(), 0U);
+}
+
 // Guards against two processes that write to one folder.
 TEST(FileStorageTest, FolderIsLocked) {
   TemporaryFolder folder;
