Carry the cold rate with routes, and find control sooner after a start

Cause: a restarted agent knew the bound of a cold start only from control, one announcement later, and allowed the slack alone until then; after a loss of all machines upstreams declined first packets for 0.8 s. Balancers that met a refused connection or a relay without a group came back after up to 1 s.

Ruled out: an unknown bound read as none (it would break the bound on services that state one).

Change: routes carry the rate and first packets bring it to the agent; reconnections wait at most 0.2 s for the first 15 tries; an instance without a group closes the connection of a node that subscribes.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -281,7 +281,6 @@
   LastReplyAt = steadyNow();
   if (reply->Result == AnnounceResult::Rejected)
     return;
-  Gate->setColdRate(reply->ColdMilliPerSecond);
   Gate->setWithdrawn(reply->Result == AnnounceResult::DataCentreOut ||
                      reply->Result == AnnounceResult::Draining);
 }
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -222,10 +222,10 @@
   if (decision.Action == RelayAction::Drop)
     return;
   Output.clear();
-  const absl::Status encoded =
-      encodeData(RelayedPacket{decision.Service, decision.Attempt,
-                               decision.Asks, Bytes(buf.begin(), buf.end())},
-                 Output);
+  const absl::Status encoded = encodeData(
+      RelayedPacket{decision.Service, decision.Attempt, decision.Asks,
+                    decision.ColdMilliPerSecond, Bytes(buf.begin(), buf.end())},
+      Output);
   if (!encoded.ok()) {
     logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
     return;
--- a/Source/ControlDaemon/NodeChannel.cpp
+++ b/Source/ControlDaemon/NodeChannel.cpp
@@ -36,6 +36,10 @@
 }
 
 void NodeChannel::onMessage(ConnectionId from, const Subscribe &message) {
+  // An instance that is in no group yet has nothing to publish; the node goes
+  // on to the next one.
+  if (Control.node().members().empty())
+    return Server->close(from);
   Connection &connection = Connections[from];
   connection.Subscription = message;
   connection.Sent = message.Have;
--- a/Source/Core/Control/AnnouncementTracker.cpp
+++ b/Source/Core/Control/AnnouncementTracker.cpp
@@ -13,16 +13,6 @@
   return draining ? UpstreamState::Draining : UpstreamState::Active;
 }
 
-/// In thousandths a second.
-std::uint32_t coldRate(std::string_view service, const ControlState &state) {
-  const auto services = state.rules().services();
-  const auto it = std::ranges::find(services, service, &ServiceRule::Name);
-  if (it == services.end() || !it->ColdPerSecond)
-    return NoColdBound;
-  return static_cast<std::uint32_t>(
-      std::min(*it->ColdPerSecond * 1000, NoColdBound - 1.0));
-}
-
 AnnounceReply rejected(std::string reason) {
   return {AnnounceResult::Rejected, {}, {}, std::move(reason)};
 }
@@ -190,7 +180,6 @@
   reply.Result = AnnounceResult::Accepted;
   reply.Service = state.findService(announce.Service)->Id;
   reply.Slots = Bounds.find(announce.Service, state);
-  reply.ColdMilliPerSecond = coldRate(announce.Service, state);
   const bool isKnown = known && known->Record.Run == announce.Run;
   if (isKnown) {
     reply.Upstream = known->Record.Id;
--- a/Source/Core/Control/Control.h
+++ b/Source/Core/Control/Control.h
@@ -35,6 +35,10 @@
   std::string Text;
 };
 
+/// New flows that one upstream of the service bears in a cold start, in
+/// thousandths a second; NoColdBound if the rules set none.
+std::uint32_t coldRate(const RuleSet &rules, std::string_view service);
+
 struct UpstreamInfo {
   UpstreamRecord Record;
   std::string Zone;
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -312,7 +312,8 @@
   for (const RouteRule &rule : Data.Rules.routes()) {
     RouteRecord record{rule.Address, {}, {}};
     for (const RouteTarget &it : rule.Targets)
-      record.Shares.push_back({Data.Services.at(it.Service).Id, it.Weight});
+      record.Shares.push_back({Data.Services.at(it.Service).Id, it.Weight,
+                               coldRate(Data.Rules, it.Service)});
     const auto isNamed = [&](ServiceId id) {
       return std::ranges::count(record.Shares, id, &RouteShare::Service) > 0;
     };
@@ -549,6 +550,15 @@
 
 } // namespace
 
+std::uint32_t coldRate(const RuleSet &rules, std::string_view service) {
+  const auto services = rules.services();
+  const auto it = std::ranges::find(services, service, &ServiceRule::Name);
+  if (it == services.end() || !it->ColdPerSecond)
+    return NoColdBound;
+  return static_cast<std::uint32_t>(
+      std::min(*it->ColdPerSecond * 1000, NoColdBound - 1.0));
+}
+
 std::unique_ptr<ControlState> makeControlState() {
   return std::make_unique<ControlStateImpl>();
 }
--- a/Source/Core/Control/StateCodec.cpp
+++ b/Source/Core/Control/StateCodec.cpp
@@ -75,6 +75,7 @@
 template <typename Archive> void image(Archive &archive, RouteShare &it) {
   field(archive, it.Service);
   field(archive, it.Weight);
+  field(archive, it.ColdMilliPerSecond);
 }
 
 template <typename Container> void images(InputArchive &archive, Container &it);
--- a/Source/Core/Control/TableParts.cpp
+++ b/Source/Core/Control/TableParts.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t UpstreamBytes = 25;
 constexpr std::size_t BalancerBytes = 12;
 constexpr std::size_t RouteBytes = 14;
-constexpr std::size_t RouteShareBytes = 8;
+constexpr std::size_t RouteShareBytes = 12;
 constexpr std::size_t IdBytes = 4;
 constexpr std::size_t EndpointBytes = 6;
 
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -52,6 +52,7 @@
   /// Another upstream that accepted a copy of the first packet.
   Holder Other;
   ServiceTag Service;
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
   bool Confirmed = false;
   bool Searching = false;
   /// Agents that were asked in this search. The order of the candidates changes
@@ -102,8 +103,8 @@
                                     const RouteRecord &route,
                                     const ServiceTable &table,
                                     TimePoint now) const;
-  const Service *chooseService(const FlowEnds &flow, const RouteRecord &route,
-                               const ServiceTable &table) const;
+  static const RouteShare *chooseShare(const FlowEnds &flow,
+                                       const RouteRecord &route);
   double loadOf(const ServiceMember &member, DataCentreId home) const;
   bool isOffered(const ServiceMember &member, TimePoint now) const;
   FlowEntry &entryOf(const FlowEnds &flow, TimePoint now);
@@ -119,14 +120,15 @@
 
 RelayDecision FlowRouterImpl::forward(const FlowEntry &entry,
                                       RelayReason reason) {
-  return {RelayAction::Forward, reason,        entry.Current.Agent,
-          entry.Service,        entry.Attempt, !entry.Confirmed};
+  return {RelayAction::Forward,    reason,        entry.Current.Agent,
+          entry.Service,           entry.Attempt, !entry.Confirmed,
+          entry.ColdMilliPerSecond};
 }
 
 RelayDecision FlowRouterImpl::forget(const FlowEnds &flow, RelayAction action,
                                      RelayReason reason) {
   Flows.erase(flow);
-  return {action, reason, {}, {}, 0, false};
+  return {action, reason, {}, {}, 0, false, NoColdBound};
 }
 
 FlowEntry &FlowRouterImpl::entryOf(const FlowEnds &flow, TimePoint now) {
@@ -150,7 +152,8 @@
                                              TimePoint now) {
   const FlowEnds flow{packet.Source, packet.Destination};
   if (table.routeCount() == 0)
-    return {RelayAction::Drop, RelayReason::NoTable, {}, {}, 0, false};
+    return {RelayAction::Drop, RelayReason::NoTable, {}, {}, 0, false,
+            NoColdBound};
   const RouteRecord *route = table.findRoute(packet.Destination);
   if (route == nullptr)
     return forget(flow, packet.Resets ? RelayAction::Drop : RelayAction::Reset,
@@ -189,9 +192,8 @@
   return place(entry, flow, route, table, now);
 }
 
-const Service *FlowRouterImpl::chooseService(const FlowEnds &flow,
-                                             const RouteRecord &route,
-                                             const ServiceTable &table) const {
+const RouteShare *FlowRouterImpl::chooseShare(const FlowEnds &flow,
+                                              const RouteRecord &route) {
   std::uint64_t total = 0;
   for (const RouteShare &it : route.Shares)
     total += it.Weight;
@@ -200,7 +202,7 @@
   std::uint64_t at = mix64(hashOf(flow) + 1) % total;
   for (const RouteShare &it : route.Shares) {
     if (at < it.Weight)
-      return table.find(it.Service);
+      return &it;
     at -= it.Weight;
   }
   return nullptr;
@@ -230,7 +232,9 @@
 RelayDecision FlowRouterImpl::place(FlowEntry &entry, const FlowEnds &flow,
                                     const RouteRecord &route,
                                     const ServiceTable &table, TimePoint now) {
-  const Service *service = chooseService(flow, route, table);
+  const RouteShare *share = chooseShare(flow, route);
+  const Service *service =
+      share == nullptr ? nullptr : table.find(share->Service);
   if (service == nullptr)
     return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
   const DataCentreId home = table.findDataCentre(Options.DataCentre);
@@ -255,6 +259,7 @@
     entry.Other = entry.Current;
   entry.Current = {best->Address, 0};
   entry.Service = tagOfService(service->name());
+  entry.ColdMilliPerSecond = share->ColdMilliPerSecond;
   entry.Confirmed = false;
   entry.Searching = false;
   entry.Asked.clear();
@@ -279,7 +284,7 @@
       });
   if (!isSoonFree || now >= end)
     return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
-  return {RelayAction::Hold, RelayReason::Busy, {}, {}, 0, false};
+  return {RelayAction::Hold, RelayReason::Busy, {}, {}, 0, false, NoColdBound};
 }
 
 std::vector<Candidate> FlowRouterImpl::candidates(const FlowEnds &flow,
@@ -369,7 +374,8 @@
   if (route == nullptr)
     return forget(flow, RelayAction::Drop, RelayReason::NoRoute);
   if (message.Attempt >= MaxAttempts)
-    return {RelayAction::Drop, RelayReason::Unknown, {}, {}, 0, false};
+    return {RelayAction::Drop, RelayReason::Unknown, {}, {}, 0, false,
+            NoColdBound};
   FlowEntry &entry = entryOf(flow, now);
   const auto visits = static_cast<std::uint8_t>(message.Attempt + 1);
   const bool isCurrent = entry.Current.Agent == agent;
@@ -396,7 +402,7 @@
   const RelayDecision decision = search(entry, flow, *route, table, now);
   // A reset answers what a caller still waits for, not its own reset.
   if (decision.Action == RelayAction::Reset && packet.Resets)
-    return {RelayAction::Drop, decision.Reason, {}, {}, 0, false};
+    return {RelayAction::Drop, decision.Reason, {}, {}, 0, false, NoColdBound};
   return decision;
 }
 
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -106,6 +106,8 @@
   std::uint8_t Attempt = 0;
   /// The holder is not known for sure and has to say so.
   bool Asks = false;
+  /// As in RelayedPacket.
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
 };
 
 struct FlowRouterOptions {
@@ -264,7 +266,6 @@
   virtual void tick(TimePoint now, GateOutput &out) = 0;
   /// The time of the next reports.
   virtual void setTime(TimePoint now) = 0;
-  virtual void setColdRate(std::uint32_t milliPerSecond) = 0;
   /// The rules drain the upstream or have taken its data centre out.
   virtual void setWithdrawn(bool withdrawn) = 0;
 
--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -84,9 +84,6 @@
                         GateOutput &out) override;
   void tick(TimePoint now, GateOutput &out) override;
   void setTime(TimePoint now) override { Now = now; }
-  void setColdRate(std::uint32_t milliPerSecond) override {
-    ColdMilliPerSecond = milliPerSecond;
-  }
   void setWithdrawn(bool withdrawn) override { Withdrawn = withdrawn; }
 
   ReportResult onReport(const UpstreamReport &report) override;
@@ -130,8 +127,8 @@
   bool Withdrawn = false;
   TimePoint ReportedAt{};
   TimePoint ColdUntil{};
-  /// The most restrictive bound until control has told the service's own.
-  std::uint32_t ColdMilliPerSecond = 0;
+  /// As the latest first packet states it.
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
   std::deque<TimePoint> ColdOpens;
   /// The upstream has left first packets without an answer.
   TimePoint UnansweredUntil{};
@@ -313,6 +310,7 @@
     flow->Told = false;
     return deliver(message, balancer, out);
   }
+  ColdMilliPerSecond = message.ColdMilliPerSecond;
   if (const auto wait = refusal(message.Attempt, now))
     return giveBack(ReturnReason::Declined, message.Attempt, *wait,
                     std::move(message.Packet), balancer, out);
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -14,6 +14,10 @@
 using boost::system::error_code;
 
 constexpr Duration FirstBackOff{50};
+/// For the first tries, so that nodes that start together with control do not
+/// wait for it long, and then.
+constexpr Duration FirstMaxBackOff{200};
+constexpr int FirstTries = 15;
 constexpr Duration MaxBackOff{1000};
 constexpr Duration ConnectTimeout{1000};
 
@@ -92,6 +96,7 @@
 
     void open(tcp::socket socket) {
       BackOff = FirstBackOff;
+      Tries = 0;
       const ConnectionId id{++LastId};
       auto onFrame = [self = shared_from_this(),
                       id](std::span<const std::byte> frame) {
@@ -119,7 +124,8 @@
       std::uniform_int_distribution<Duration::rep> jitter(BackOff.count() / 2,
                                                           BackOff.count());
       Timer.expires_after(Duration(jitter(Random)));
-      BackOff = std::min(BackOff * 2, MaxBackOff);
+      BackOff = std::min(BackOff * 2,
+                         ++Tries < FirstTries ? FirstMaxBackOff : MaxBackOff);
       Timer.async_wait([self = shared_from_this()](error_code ec) {
         if (!ec)
           self->connect();
@@ -136,6 +142,8 @@
     std::size_t Next = 0;
     std::uint64_t LastId = 0;
     Duration BackOff = FirstBackOff;
+    /// Since the last connection.
+    int Tries = 0;
     bool Stopped = false;
   };
 
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -87,6 +87,7 @@
   field(archive, it.Service);
   field(archive, it.Attempt);
   field(archive, it.Asks);
+  field(archive, it.ColdMilliPerSecond);
   bytes(archive, it.Packet, MaxOpaquePacketBytes);
 }
 
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -194,6 +194,9 @@
   std::uint8_t Attempt = 0;
   /// The balancer does not know the holder of the flow and wants to be told.
   bool Asks = false;
+  /// First packets only: what an upstream of the service bears in a cold start,
+  /// as in RouteShare. The agent may not have heard from control yet.
+  std::uint32_t ColdMilliPerSecond = 0xFFFFFFFF;
   Bytes Packet;
   friend bool operator==(const RelayedPacket &,
                          const RelayedPacket &) = default;
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -41,11 +41,12 @@
 template <typename Archive> void fields(Archive &archive, RouteShare &it) {
   field(archive, it.Service);
   field(archive, it.Weight);
+  field(archive, it.ColdMilliPerSecond);
 }
 
 template <typename Archive> void fields(Archive &archive, RouteRecord &it) {
   field(archive, it.Address);
-  list(archive, it.Shares, MaxRouteShares, 8);
+  list(archive, it.Shares, MaxRouteShares, 12);
   list(archive, it.Former, MaxRouteShares, 4);
 }
 
@@ -107,7 +108,6 @@
   field(archive, it.Service);
   text(archive, it.Reason, MaxReasonBytes);
   field(archive, it.Slots);
-  field(archive, it.ColdMilliPerSecond);
 }
 
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf) {
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -25,9 +25,15 @@
                          const ServiceRecord &) = default;
 };
 
+/// Stands for a service whose rules set no bound in a cold start.
+inline constexpr std::uint32_t NoColdBound = 0xFFFFFFFF;
+
 struct RouteShare {
   ServiceId Service;
   std::uint32_t Weight = 1;
+  /// New flows that one upstream bears in a cold start, in thousandths a
+  /// second; NoColdBound if the rules set none.
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
   friend bool operator==(const RouteShare &, const RouteShare &) = default;
 };
 
@@ -163,8 +169,6 @@
   Max = Unavailable
 };
 
-inline constexpr std::uint32_t NoColdBound = 0xFFFFFFFF;
-
 struct AnnounceReply {
   AnnounceResult Result = AnnounceResult::Unavailable;
   UpstreamId Upstream;
@@ -173,9 +177,6 @@
   /// Requests that the rules let this upstream run at the same time; 0 if they
   /// set no bound.
   std::uint32_t Slots = 0;
-  /// Requests that this upstream bears in a cold start, in thousandths a
-  /// second; NoColdBound if the rules set none.
-  std::uint32_t ColdMilliPerSecond = NoColdBound;
   friend bool operator==(const AnnounceReply &,
                          const AnnounceReply &) = default;
 };
--- a/Source/UnitTests/Control/RoutingTest.cpp
+++ b/Source/UnitTests/Control/RoutingTest.cpp
@@ -82,6 +82,19 @@
   EXPECT_TRUE(Script.freshNode().Routes.at(Address).Former.empty());
 }
 
+// Guards against agents that have to wait for control before they know what
+// their upstream bears in a cold start.
+TEST_F(RoutingTest, RouteCarriesTheColdRate) {
+  ApplyRouting command = makeRouting(1, "alpha weight 1 and beta weight 1");
+  command.Lines.replace(command.Lines.find("slots 5 "), 8,
+                        "slots 5 cold-rate 2.5 ");
+  commit(command, "routing-1");
+  const auto shares = Script.freshNode().Routes.at(Address).Shares;
+  ASSERT_EQ(shares.size(), 2U);
+  EXPECT_EQ(shares[0].ColdMilliPerSecond, 2500U);
+  EXPECT_EQ(shares[1].ColdMilliPerSecond, NoColdBound);
+}
+
 // Guards against a routing that drops what operators wrote in the rules.
 TEST_F(RoutingTest, OtherRulesStay) {
   commit(makeChange("op-1", "y", DataCentreChange::TakeOut), "op-1");
--- a/Source/UnitTests/Relay/UpstreamGateTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamGateTest.cpp
@@ -34,7 +34,6 @@
     options.Upstream = Upstream;
     options.CallerPort = CallerPort;
     Gate = makeUpstreamGate(options, Format);
-    Gate->setColdRate(NoColdBound);
   }
 
   ReportResult report(const UpstreamReport &it) {
@@ -46,9 +45,9 @@
                    const Endpoint &balancer = Balancer,
                    const std::string &service = "a", bool asks = false) {
     GateOutput output;
-    Gate->onRelayed(
-        {tagOfService(service), attempt, asks, TestFormat::encode(packet)},
-        balancer, Now, output);
+    Gate->onRelayed({tagOfService(service), attempt, asks, ColdRate,
+                     TestFormat::encode(packet)},
+                    balancer, Now, output);
     return output;
   }
   GateOutput answer(const FlowPacket &packet) {
@@ -105,6 +104,7 @@
   }
 
   TestFormat Format;
+  std::uint32_t ColdRate = NoColdBound;
   TimePoint Now{Duration(1000000)};
   std::unique_ptr<UpstreamGate> Gate;
 };
@@ -312,7 +312,7 @@
 // Guards against an upstream in a cold start that gets more first packets in
 // any second than it bears.
 TEST_F(UpstreamGateTest, ColdUpstreamGetsWhatItBears) {
-  Gate->setColdRate(4000);
+  ColdRate = 4000;
   UpstreamReport it = makeReport();
   it.ColdLeft = Duration(5000);
   report(it);
@@ -341,9 +341,9 @@
   }
 }
 
-// Guards against a cold start before control has told the bound.
-TEST_F(UpstreamGateTest, ColdUpstreamWithUnknownRateGetsTheSlackOnly) {
-  Gate->setColdRate(0);
+// Guards against a rate of 0 that is taken for no bound.
+TEST_F(UpstreamGateTest, ColdUpstreamThatBearsNothingGetsTheSlackOnly) {
+  ColdRate = 0;
   UpstreamReport it = makeReport();
   it.ColdLeft = Duration(2000);
   report(it);
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -54,7 +54,7 @@
                    sampleBytes(40)},
       PeerLeaseQuery{"balancer-1", 17, Revision{8}},
       PeerLeaseAnswer{"balancer-2", 17, 1500, Revision{9}},
-      RelayedPacket{ServiceTag{77}, 3, true, sampleBytes(1231)},
+      RelayedPacket{ServiceTag{77}, 3, true, 2500, sampleBytes(1231)},
       ReturnedPacket{ReturnReason::Declined, 4, 250, UpstreamLoad{2, 40, 5},
                      sampleBytes(31)},
       FlowHeld{
@@ -92,7 +92,7 @@
   update.RemovedUpstreams = {UpstreamId{8}};
   update.RemovedBalancers = {"balancer-9"};
   update.Routes = {{{0xC6120001, 443},
-                    {{ServiceId{1}, 90}, {ServiceId{2}, 10}},
+                    {{ServiceId{1}, 90, 2500}, {ServiceId{2}, 10}},
                     {ServiceId{3}}}};
   update.RemovedRoutes = {{0xC6120001, 444}};
   return {
@@ -111,7 +111,7 @@
                true,
                false},
       AnnounceReply{AnnounceResult::Rejected, UpstreamId{6}, ServiceId{1},
-                    "unknown service", 3, 2500}};
+                    "unknown service", 3}};
 }
 
 inline std::vector<LogCommand> sampleCommands() {
