Slow reconnections down until a server has answered, and forget flows cheaply

Cause: since instances without a group close the connections of nodes, the back-off began anew with each of them, up to 30 connections a second for each balancer after a loss of all machines. A full table of flows was searched for its longest idle one with each new flow.

Ruled out: keeping such connections open (nodes then wait for the time without a grant).

Change: the back-off begins anew once a server has sent something; a full table forgets any flow, which a search finds again.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -112,15 +112,19 @@
 
 RelayDecision FlowRouterImpl::forward(const FlowEntry &entry,
                                       RelayReason reason) {
-  return {RelayAction::Forward,    reason,        entry.Current.Agent,
-          entry.Service,           entry.Attempt, !entry.Confirmed,
-          entry.ColdMilliPerSecond};
+  return {.Action = RelayAction::Forward,
+          .Reason = reason,
+          .Agent = entry.Current.Agent,
+          .Service = entry.Service,
+          .Attempt = entry.Attempt,
+          .Asks = !entry.Confirmed,
+          .ColdMilliPerSecond = entry.ColdMilliPerSecond};
 }
 
 RelayDecision FlowRouterImpl::forget(const FlowEnds &flow, RelayAction action,
                                      RelayReason reason) {
   Flows.erase(flow);
-  return {action, reason, {}, {}, 0, false, NoColdBound};
+  return {.Action = action, .Reason = reason};
 }
 
 FlowEntry &FlowRouterImpl::entryOf(const FlowEnds &flow, TimePoint now) {
@@ -128,11 +132,9 @@
   if (it != Flows.end())
     return it->second;
   if (Flows.size() >= Options.MaxFlows) {
-    // Any holder can be found again by a search, so forgetting costs hops only.
-    Flows.erase(std::min_element(Flows.begin(), Flows.end(),
-                                 [](const auto &a, const auto &b) {
-                                   return a.second.SeenAt < b.second.SeenAt;
-                                 }));
+    // Any holder can be found again by a search, so forgetting costs hops only,
+    // and looking for the longest idle flow would cost more.
+    Flows.erase(Flows.begin());
   }
   FlowEntry &entry = Flows[flow];
   entry.SeenAt = now;
@@ -144,8 +146,7 @@
                                              TimePoint now) {
   const FlowEnds flow{packet.Source, packet.Destination};
   if (table.routeCount() == 0)
-    return {RelayAction::Drop, RelayReason::NoTable, {}, {}, 0, false,
-            NoColdBound};
+    return {.Action = RelayAction::Drop, .Reason = RelayReason::NoTable};
   const RouteRecord *route = table.findRoute(packet.Destination);
   if (route == nullptr)
     return forget(flow, packet.Resets ? RelayAction::Drop : RelayAction::Reset,
@@ -276,7 +277,7 @@
       });
   if (!isSoonFree || now >= end)
     return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
-  return {RelayAction::Hold, RelayReason::Busy, {}, {}, 0, false, NoColdBound};
+  return {.Action = RelayAction::Hold, .Reason = RelayReason::Busy};
 }
 
 std::vector<Candidate> FlowRouterImpl::candidates(const FlowEnds &flow,
@@ -366,8 +367,7 @@
   if (route == nullptr)
     return forget(flow, RelayAction::Drop, RelayReason::NoRoute);
   if (message.Attempt >= MaxAttempts)
-    return {RelayAction::Drop, RelayReason::Unknown, {}, {}, 0, false,
-            NoColdBound};
+    return {.Action = RelayAction::Drop, .Reason = RelayReason::Unknown};
   FlowEntry &entry = entryOf(flow, now);
   const auto visits = static_cast<std::uint8_t>(message.Attempt + 1);
   const bool isCurrent = entry.Current.Agent == agent;
@@ -394,7 +394,7 @@
   const RelayDecision decision = search(entry, flow, *route, table, now);
   // A reset answers what a caller still waits for, not its own reset.
   if (decision.Action == RelayAction::Reset && packet.Resets)
-    return {RelayAction::Drop, decision.Reason, {}, {}, 0, false, NoColdBound};
+    return {.Action = RelayAction::Drop, .Reason = decision.Reason};
   return decision;
 }
 
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -100,8 +100,8 @@
   RelayAction Action = RelayAction::Drop;
   RelayReason Reason = RelayReason::NoTable;
   /// Forward only.
-  Endpoint Agent;
-  ServiceTag Service;
+  Endpoint Agent{};
+  ServiceTag Service{};
   std::uint8_t Attempt = 0;
   /// The holder is not known for sure and has to say so.
   bool Asks = false;
@@ -112,7 +112,7 @@
 struct FlowRouterOptions {
   /// Upstreams of the balancer's own data centre are preferred.
   std::string DataCentre;
-  /// Flows remembered; the longest idle ones are forgotten first.
+  /// Flows remembered.
   std::size_t MaxFlows = 65536;
   /// A flow without a packet for this long is forgotten.
   Duration FlowIdle{60000};
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -97,11 +97,12 @@
     }
 
     void open(tcp::socket socket) {
-      BackOff = FirstBackOff;
-      Tries = 0;
       const ConnectionId id{++LastId};
       auto onFrame = [self = shared_from_this(),
                       id](std::span<const std::byte> frame) {
+        // A server that only accepts and closes is no reason to hurry.
+        self->BackOff = FirstBackOff;
+        self->Tries = 0;
         if (!self->Stopped)
           self->Handlers.OnFrame(id, frame);
       };
