--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -19,22 +19,6 @@
 /// Time for the last answers and the last announcement to leave the process.
 constexpr Duration LeaveTime{500};
 
-std::string_view resultName(AnnounceResult result) {
-  switch (result) {
-  case AnnounceResult::Accepted:
-    return "accepted";
-  case AnnounceResult::Draining:
-    return "draining";
-  case AnnounceResult::DataCentreOut:
-    return "data-centre-out";
-  case AnnounceResult::Rejected:
-    return "rejected";
-  case AnnounceResult::Unavailable:
-    return "unavailable";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 AgentDaemon::AgentDaemon(boost::asio::io_context &context,
@@ -180,7 +164,7 @@
                            reply->Result == AnnounceResult::Unavailable;
     logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
              "control has given this upstream a state",
-             {{"result", std::string(resultName(reply->Result))},
+             {{"result", std::string(nameOf(reply->Result))},
               {"upstream", std::to_string(reply->Upstream.Value)},
               {"reason", reply->Reason}});
     LastResult = reply->Result;
--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -17,22 +17,6 @@
 /// Reports that may be lost before the upstream takes no new flows.
 constexpr int MissedReports = 3;
 
-std::string_view resultName(AnnounceResult result) {
-  switch (result) {
-  case AnnounceResult::Accepted:
-    return "accepted";
-  case AnnounceResult::Draining:
-    return "draining";
-  case AnnounceResult::DataCentreOut:
-    return "data-centre-out";
-  case AnnounceResult::Rejected:
-    return "rejected";
-  case AnnounceResult::Unavailable:
-    return "unavailable";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 struct RelayAgent::Metrics {
@@ -269,7 +253,7 @@
                            reply->Result == AnnounceResult::Unavailable;
     logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
              "control has given this upstream a state",
-             {{"result", std::string(resultName(reply->Result))},
+             {{"result", std::string(nameOf(reply->Result))},
               {"upstream", std::to_string(reply->Upstream.Value)},
               {"reason", reply->Reason}});
     LastResult = reply->Result;
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -110,6 +110,22 @@
   field(archive, it.Slots);
 }
 
+std::string_view nameOf(AnnounceResult result) {
+  switch (result) {
+  case AnnounceResult::Accepted:
+    return "accepted";
+  case AnnounceResult::Draining:
+    return "draining";
+  case AnnounceResult::DataCentreOut:
+    return "data-centre-out";
+  case AnnounceResult::Rejected:
+    return "rejected";
+  case AnnounceResult::Unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf) {
   return decodeVariant<NodeMessage>(buf, FirstNodeType, MaxBodyBytes);
 }
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -169,6 +170,9 @@
   Max = Unavailable
 };
 
+/// For logs.
+std::string_view nameOf(AnnounceResult result);
+
 struct AnnounceReply {
   AnnounceResult Result = AnnounceResult::Unavailable;
   UpstreamId Upstream;
