--- a/Source/ControlDaemon/ControlBackend.cpp
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -198,7 +198,7 @@
   });
 }
 
-void ControlBackend::tick(TimePoint /*now*/) {
+void ControlBackend::retryOrders() {
   for (Waiting &it : std::exchange(Orders, {}))
     order(it.Command, it.GiveUpAt, std::move(it.Done));
 }
--- a/Source/ControlDaemon/ControlBackend.h
+++ b/Source/ControlDaemon/ControlBackend.h
@@ -31,7 +31,7 @@
                      std::function<void(absl::Status)> done) override;
 
   /// Tries orders again that found no leader.
-  void tick(TimePoint now);
+  void retryOrders();
 
   std::uint64_t applied() const { return Applied; }
   std::uint64_t refused() const { return Refused; }
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -208,7 +208,7 @@
   Links->tick(now);
   Nodes->tick(now);
   Calls->tick(now);
-  Backend->tick(now);
+  Backend->retryOrders();
   if (Membership->needsToJoin(now))
     askToJoin(now);
   else
--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -104,7 +104,7 @@
   void giveBack(ReturnReason reason, std::uint8_t attempt, Duration retryAfter,
                 Bytes packet, const Endpoint &balancer, GateOutput &out);
   void onGivenBack(const FlowPacket &packet, std::span<const std::byte> buf,
-                   TimePoint now, GateOutput &out);
+                   GateOutput &out);
   void noteAnswer(Flow &flow, const FlowEnds &ends, const FlowPacket &packet,
                   TimePoint now, GateOutput &out);
   void tellHolder(Flow &flow, const FlowEnds &ends, GateOutput &out);
@@ -373,7 +373,7 @@
 
 void UpstreamGateImpl::onGivenBack(const FlowPacket &packet,
                                    std::span<const std::byte> buf,
-                                   TimePoint now, GateOutput &out) {
+                                   GateOutput &out) {
   const FlowEnds ends{packet.Source, packet.Destination};
   const SentPacket &sent = Sent[packet.Tag % TagSlots];
   if (packet.Tag == 0 || sent.Tag != packet.Tag) {
@@ -392,7 +392,6 @@
   else
     giveBack(ReturnReason::NotHeld, sent.Attempt, {}, std::move(copy),
              sent.Balancer, out);
-  (void)now;
 }
 
 void UpstreamGateImpl::noteAnswer(Flow &flow, const FlowEnds &ends,
@@ -429,7 +428,7 @@
     return;
   }
   if (packet->Returned)
-    return onGivenBack(*packet, buf, now, out);
+    return onGivenBack(*packet, buf, out);
   const FlowEnds ends{packet->Destination, packet->Source};
   if (Flow *flow = find(ends))
     noteAnswer(*flow, ends, *packet, now, out);
