Decline cold flows where the bound allows none at all

Cause: found by reading. With a cold slack of 0 and a rate below one flow a second, an agent read the time of an earlier flow from an empty list as soon as a first packet came in a cold start.

Change: without an earlier flow the wait is the rest of the cold start; no wait is longer than that.

Figures: UpstreamGateTest.ColdUpstreamThatMayGetNothingDeclines failed before and passes now; all tests pass in the plain build.

--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -263,8 +263,12 @@
     return UnansweredUntil - now;
   if (Flows.size() >= Options.MaxFlows)
     return UnansweredRetry;
-  if (!isWithinColdBound(now))
-    return ColdOpens.front() + ColdWindow - now;
+  if (!isWithinColdBound(now)) {
+    // A bound below one flow has no earlier flow to wait for.
+    const TimePoint free =
+        ColdOpens.empty() ? ColdUntil : ColdOpens.front() + ColdWindow;
+    return std::min(free, ColdUntil) - now;
+  }
   // The first agent asked passes a flow on as soon as it would wait; the
   // balancer may know a less loaded one. Later ones take it if they can.
   const std::uint32_t allowed = attempt == 0 ? 1 : MaxBusyPerSlot;
--- a/Source/UnitTests/Relay/UpstreamGateTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamGateTest.cpp
@@ -355,6 +355,27 @@
   EXPECT_EQ(taken, 5);
 }
 
+// Guards against a cold bound below one flow a second, for which no earlier
+// flow tells how long to wait.
+TEST_F(UpstreamGateTest, ColdUpstreamThatMayGetNothingDeclines) {
+  UpstreamGateOptions options;
+  options.Service = "a";
+  options.Upstream = Upstream;
+  options.ColdSlack = 0;
+  Gate = makeUpstreamGate(options, Format);
+  ColdRate = 0;
+  UpstreamReport it = makeReport();
+  it.ColdLeft = Duration(2000);
+  report(it);
+  const auto returned = messageOf<ReturnedPacket>(relay(firstPacket(1)));
+  ASSERT_TRUE(returned);
+  EXPECT_EQ(returned->Reason, ReturnReason::Declined);
+  EXPECT_GT(returned->RetryAfterMs, 0);
+  EXPECT_LE(returned->RetryAfterMs, 2000);
+  Now += Duration(2000);
+  EXPECT_FALSE(isDeclined(relay(firstPacket(2))));
+}
+
 // Guards against the pattern of a request that waits behind others while
 // another upstream is idle: the first agent asked passes it on as soon as its
 // slots are taken, a later one takes it.
