Give the gate the time with each report, and share repeated steps

Cause: reading the whole change again. UpstreamGate took the time of a report from an earlier setTime() call, so that a missed call would have dated the report wrongly. FlowRouter repeated how an answer and a silence change its view of an agent, how a packet is passed on to the holder, and the bucket of a flow. NoColdBound stood in two headers. The error branch of HttpServer::onRead tested the same code twice. Two reload functions stored addresses that nothing reads.

Ruled out: a change of behaviour. The tests keep their assertions; those of the gate now pass the time that they set before.

Change: onReport() takes the time and setTime() is gone; FlowRouter has noteAnswer(), noteSilence(), passOn() and bucketOf(); NoColdBound stands in Envelope.h; comments on three limits and on slow HTTP requests say what the code does.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -104,8 +104,7 @@
 }
 
 ReportResult RelayAgent::onReport(const UpstreamReport &report) {
-  Gate->setTime(steadyNow());
-  const ReportResult result = Gate->onReport(report);
+  const ReportResult result = Gate->onReport(report, steadyNow());
   if (result != ReportResult::Accepted)
     logEvent(LogLevel::Warning, "report_ignored",
              result == ReportResult::Outdated ? "an earlier report or lifetime"
@@ -121,7 +120,6 @@
 }
 
 bool RelayAgent::onLeft(std::string_view id) {
-  Gate->setTime(steadyNow());
   const bool known = Gate->onLeft(id);
   logEvent(LogLevel::Info, "upstream_left",
            known ? "" : "the upstream was not known",
@@ -308,7 +306,6 @@
 }
 
 void RelayAgent::reload(const AgentSettings &settings) {
-  Settings.Control = settings.Control;
   Control->setServers(settings.Control);
 }
 
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -15,7 +15,8 @@
 /// Held packets are decided again this often: below the work of one request on
 /// the deployments.
 constexpr Duration RetryInterval{15};
-/// Control is reported as lost after this long without a grant; six renewals.
+/// Control is reported as lost after this long without an answer; twelve
+/// renewals.
 constexpr Duration ControlLostAfter{3000};
 /// The fabric turns away after two missed questions, half a second apart.
 constexpr Duration StopLinger{2000};
@@ -274,7 +275,6 @@
 }
 
 void RelayBalancer::reload(const BalancerSettings &settings) {
-  Settings.Control = settings.Control;
   Control->setControl(settings.Control);
 }
 
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t MinVotersToShrink = 4;
 
 /// A member without a leader for this long asks whether it still belongs to the
-/// group. Twice the longest election timeout.
+/// group. Three times the longest election timeout.
 constexpr Duration LeaderlessBeforeJoin{2400};
 
 } // namespace
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -19,9 +19,14 @@
 /// loaded to be chosen.
 constexpr double RemotePenalty = 0.2;
 
-/// A half of the sequence space: further away lies another numbering.
+/// Sequence numbers further away belong to another numbering of the flow.
 constexpr std::uint32_t SequenceWindow = 16U * 1024 * 1024;
 
+/// Bucket of the ranking, as Service has it.
+std::uint16_t bucketOf(const FlowEnds &flow) {
+  return static_cast<std::uint16_t>(hashOf(flow) >> 52);
+}
+
 /// What the balancer has learned of an agent.
 struct AgentView {
   UpstreamLoad Load;
@@ -100,7 +105,12 @@
   double loadOf(const ServiceMember &member, DataCentreId home) const;
   bool isOffered(const ServiceMember &member, TimePoint now) const;
   FlowEntry &entryOf(const FlowEnds &flow, TimePoint now);
+  /// The agent has answered, with its load.
+  AgentView &noteAnswer(const Endpoint &agent, const UpstreamLoad &load);
+  void noteSilence(const Endpoint &agent, TimePoint now);
   static RelayDecision forward(const FlowEntry &entry, RelayReason reason);
+  /// To the holder, for a packet that has visited \p visits agents.
+  static RelayDecision passOn(const FlowEntry &entry, std::uint8_t visits);
   RelayDecision forget(const FlowEnds &flow, RelayAction action,
                        RelayReason reason);
 
@@ -121,6 +131,26 @@
           .ColdMilliPerSecond = entry.ColdMilliPerSecond};
 }
 
+RelayDecision FlowRouterImpl::passOn(const FlowEntry &entry,
+                                     std::uint8_t visits) {
+  RelayDecision decision = forward(entry, RelayReason::Held);
+  decision.Attempt = visits;
+  return decision;
+}
+
+AgentView &FlowRouterImpl::noteAnswer(const Endpoint &agent,
+                                      const UpstreamLoad &load) {
+  AgentView &view = Agents[agent];
+  view.SilentUntil = {};
+  view.Load = load;
+  view.PlacedSince = 0;
+  return view;
+}
+
+void FlowRouterImpl::noteSilence(const Endpoint &agent, TimePoint now) {
+  Agents[agent].SilentUntil = now + Options.SilentPenalty;
+}
+
 RelayDecision FlowRouterImpl::forget(const FlowEnds &flow, RelayAction action,
                                      RelayReason reason) {
   Flows.erase(flow);
@@ -179,7 +209,7 @@
   if (entry.Current.Agent.Port != 0) {
     if (entry.Confirmed || now - entry.AskedAt < Options.AnswerTimeout)
       return forward(entry, RelayReason::Held);
-    Agents[entry.Current.Agent].SilentUntil = now + Options.SilentPenalty;
+    noteSilence(entry.Current.Agent, now);
   }
   entry.Attempt = 0;
   return place(entry, flow, route, table, now);
@@ -231,7 +261,7 @@
   if (service == nullptr)
     return forget(flow, RelayAction::Reset, RelayReason::NoUpstream);
   const DataCentreId home = table.findDataCentre(Options.DataCentre);
-  const auto bucket = static_cast<std::uint16_t>(hashOf(flow) >> 52);
+  const auto bucket = bucketOf(flow);
   // The least loaded of all is chosen; the ranking breaks ties, so that
   // balancers with the same view spread their flows.
   const ServiceMember *best = nullptr;
@@ -285,7 +315,7 @@
                                                   const ServiceTable &table,
                                                   TimePoint now) const {
   const DataCentreId home = table.findDataCentre(Options.DataCentre);
-  const auto bucket = static_cast<std::uint16_t>(hashOf(flow) >> 52);
+  const auto bucket = bucketOf(flow);
   std::vector<Candidate> all;
   std::vector<ServiceId> services;
   for (const RouteShare &it : route.Shares)
@@ -332,7 +362,7 @@
   } else if (entry.Current.Agent.Port != 0) {
     if (now - entry.AskedAt < Options.AnswerTimeout)
       return forward(entry, RelayReason::Search);
-    Agents[entry.Current.Agent].SilentUntil = now + Options.SilentPenalty;
+    noteSilence(entry.Current.Agent, now);
     entry.Skipped = true;
   }
   const std::vector<Candidate> all = candidates(flow, route, table, now);
@@ -359,10 +389,7 @@
                                          const ServiceTable &table,
                                          TimePoint now) {
   const FlowEnds flow{packet.Source, packet.Destination};
-  AgentView &view = Agents[agent];
-  view.SilentUntil = {};
-  view.Load = message.Load;
-  view.PlacedSince = 0;
+  AgentView &view = noteAnswer(agent, message.Load);
   const RouteRecord *route = table.findRoute(packet.Destination);
   if (route == nullptr)
     return forget(flow, RelayAction::Drop, RelayReason::NoRoute);
@@ -370,12 +397,9 @@
     return {.Action = RelayAction::Drop, .Reason = RelayReason::Unknown};
   FlowEntry &entry = entryOf(flow, now);
   const auto visits = static_cast<std::uint8_t>(message.Attempt + 1);
-  const bool isCurrent = entry.Current.Agent == agent;
-  if (entry.Current.Agent.Port != 0 && !isCurrent) {
+  if (entry.Current.Agent.Port != 0 && entry.Current.Agent != agent) {
     // The flow was placed or found elsewhere meanwhile.
-    RelayDecision decision = forward(entry, RelayReason::Held);
-    decision.Attempt = visits;
-    return decision;
+    return passOn(entry, visits);
   }
   if (packet.Opens) {
     view.AvoidUntil = now + Duration(message.RetryAfterMs);
@@ -385,9 +409,7 @@
   }
   if (entry.Other.Agent.Port != 0 && !entry.Searching) {
     entry.Current = std::exchange(entry.Other, {});
-    RelayDecision decision = forward(entry, RelayReason::Held);
-    decision.Attempt = visits;
-    return decision;
+    return passOn(entry, visits);
   }
   // This agent has answered; the search goes on with the next.
   entry.Current = {};
@@ -400,10 +422,7 @@
 
 void FlowRouterImpl::onHeld(const FlowHeld &message, const Endpoint &agent,
                             TimePoint now) {
-  AgentView &view = Agents[agent];
-  view.Load = message.Load;
-  view.PlacedSince = 0;
-  view.SilentUntil = {};
+  noteAnswer(agent, message.Load);
   FlowEntry &entry = entryOf({message.Caller, message.Service}, now);
   const Holder holder{agent, message.FirstSequence};
   if (entry.Confirmed && entry.Current.Agent != agent) {
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -254,8 +254,13 @@
 
 /// The agent's decisions: which packets reach the upstream beside it, and where
 /// the others go.
-class UpstreamGate : public UpstreamReports {
+class UpstreamGate {
 public:
+  virtual ~UpstreamGate() = default;
+  virtual ReportResult onReport(const UpstreamReport &report,
+                                TimePoint now) = 0;
+  /// As UpstreamReports::onLeft().
+  virtual bool onLeft(std::string_view id) = 0;
   /// A packet from a balancer.
   virtual void onRelayed(RelayedPacket message, const Endpoint &balancer,
                          TimePoint now, GateOutput &out) = 0;
@@ -263,8 +268,6 @@
   virtual void onUpstreamPacket(std::span<const std::byte> buf, TimePoint now,
                                 GateOutput &out) = 0;
   virtual void tick(TimePoint now, GateOutput &out) = 0;
-  /// The time of the next reports.
-  virtual void setTime(TimePoint now) = 0;
   /// The rules drain the upstream or have taken its data centre out.
   virtual void setWithdrawn(bool withdrawn) = 0;
 
--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -83,10 +83,9 @@
   void onUpstreamPacket(std::span<const std::byte> buf, TimePoint now,
                         GateOutput &out) override;
   void tick(TimePoint now, GateOutput &out) override;
-  void setTime(TimePoint now) override { Now = now; }
   void setWithdrawn(bool withdrawn) override { Withdrawn = withdrawn; }
 
-  ReportResult onReport(const UpstreamReport &report) override;
+  ReportResult onReport(const UpstreamReport &report, TimePoint now) override;
   bool onLeft(std::string_view id) override;
 
   GateState state(TimePoint now) const override;
@@ -119,7 +118,6 @@
   UpstreamGateOptions Options;
   const PacketFormat &Format;
   ServiceTag Service;
-  TimePoint Now{};
 
   UpstreamReport Last;
   bool HasReport = false;
@@ -203,7 +201,8 @@
   return GateState::Accepting;
 }
 
-ReportResult UpstreamGateImpl::onReport(const UpstreamReport &report) {
+ReportResult UpstreamGateImpl::onReport(const UpstreamReport &report,
+                                        TimePoint now) {
   if (report.Service != Options.Service || report.Address != Options.Upstream)
     return ReportResult::Foreign;
   const bool isNew = !HasReport || report.BornMs > Last.BornMs;
@@ -222,9 +221,9 @@
   Last = report;
   Last.Draining = report.Draining || drained;
   HasReport = true;
-  ReportedAt = Now;
+  ReportedAt = now;
   UnansweredUntil = {};
-  ColdUntil = Now + report.ColdLeft;
+  ColdUntil = now + report.ColdLeft;
   return ReportResult::Accepted;
 }
 
--- a/Source/Core/Runtime/HttpServer.cpp
+++ b/Source/Core/Runtime/HttpServer.cpp
@@ -3,7 +3,6 @@
 
 #include "absl/strings/str_cat.h"
 
-#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -79,15 +78,15 @@
       return;
     if (ec == http::error::body_limit)
       return write({413, "{\"error\":\"the body is too large\"}"}, false, Turn);
-    if (ec == http::error::end_of_stream ||
-        ec.category() !=
-            http::make_error_code(http::error::bad_version).category()) {
-      if (ec)
-        return close();
-    } else if (ec) {
+    const bool isMalformed =
+        ec != http::error::end_of_stream &&
+        ec.category() ==
+            http::make_error_code(http::error::bad_version).category();
+    if (isMalformed)
       return write({400, "{\"error\":\"the request is malformed\"}"}, false,
                    Turn);
-    }
+    if (ec)
+      return close();
     const auto &request = Parser->get();
     const bool keepAlive = request.keep_alive();
     const HttpCall call{
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -148,8 +148,9 @@
 using HttpHandler =
     std::function<void(const HttpCall &, std::function<void(HttpReply)> reply)>;
 
-/// HTTP/1.1 server for small bodies. A request that is malformed, too large or
-/// too slow is answered with 400, 413 or 408.
+/// HTTP/1.1 server for small bodies. A request that is malformed is answered
+/// with 400, one that is too large with 413; one that is too slow ends its
+/// connection.
 class HttpServer {
 public:
   virtual ~HttpServer() = default;
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -196,7 +196,7 @@
   bool Asks = false;
   /// First packets only: what an upstream of the service bears in a cold start,
   /// as in RouteShare. The agent may not have heard from control yet.
-  std::uint32_t ColdMilliPerSecond = 0xFFFFFFFF;
+  std::uint32_t ColdMilliPerSecond = NoColdBound;
   Bytes Packet;
   friend bool operator==(const RelayedPacket &,
                          const RelayedPacket &) = default;
--- a/Source/Core/Wire/Envelope.h
+++ b/Source/Core/Wire/Envelope.h
@@ -22,4 +22,7 @@
 /// Largest payload of one caller packet.
 inline constexpr std::size_t MaxPayloadBytes = 1200;
 
+/// Stands for a service whose rules set no bound in a cold start.
+inline constexpr std::uint32_t NoColdBound = 0xFFFFFFFF;
+
 } // namespace pistachio
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -26,9 +26,6 @@
                          const ServiceRecord &) = default;
 };
 
-/// Stands for a service whose rules set no bound in a cold start.
-inline constexpr std::uint32_t NoColdBound = 0xFFFFFFFF;
-
 struct RouteShare {
   ServiceId Service;
   std::uint32_t Weight = 1;
--- a/Source/UnitTests/Relay/UpstreamGateTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamGateTest.cpp
@@ -37,8 +37,7 @@
   }
 
   ReportResult report(const UpstreamReport &it) {
-    Gate->setTime(Now);
-    return Gate->onReport(it);
+    return Gate->onReport(it, Now);
   }
 
   GateOutput relay(const FlowPacket &packet, std::uint8_t attempt = 1,
@@ -155,7 +154,6 @@
 
 TEST_P(RefusalTest, OfAFirstPacket) {
   const RefusalCase &it = GetParam();
-  Gate->setTime(Now);
   it.Prepare(*Gate, Now);
   const GateOutput output = relay(firstPacket(1));
   EXPECT_EQ(isDeclined(output), it.Declines) << it.Guards;
@@ -171,61 +169,63 @@
     {"NoReport", "a flow for an upstream that is not there yet",
      [](UpstreamGate &, TimePoint &) {}, true},
     {"Ready", "an upstream that gets nothing",
-     [](UpstreamGate &gate, TimePoint &) { gate.onReport(makeReport()); },
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(), now);
+     },
      false},
     {"Draining", "a new flow after the drain was acknowledged",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport());
-       gate.onReport(draining(makeReport(2)));
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(), now);
+       gate.onReport(draining(makeReport(2)), now);
      },
      true},
     {"LateReportAfterDrain", "a delayed report that ends a drain",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport(1));
-       gate.onReport(draining(makeReport(3)));
-       gate.onReport(makeReport(2));
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(1), now);
+       gate.onReport(draining(makeReport(3)), now);
+       gate.onReport(makeReport(2), now);
      },
      true},
     {"ReadyAfterDrain", "a lifetime that drains and takes flows again",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(draining(makeReport(1)));
-       gate.onReport(makeReport(2));
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(draining(makeReport(1)), now);
+       gate.onReport(makeReport(2), now);
      },
      true},
     {"NewLifetime", "a new lifetime that is taken for the drained one",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(draining(makeReport(9, 10)));
-       gate.onReport(makeReport(1, 11));
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(draining(makeReport(9, 10)), now);
+       gate.onReport(makeReport(1, 11), now);
      },
      false},
     {"EarlierLifetime", "a delayed report that revives an ended lifetime",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport(1, 11));
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(1, 11), now);
        gate.onLeft("i-1");
-       gate.onReport(makeReport(99, 10));
+       gate.onReport(makeReport(99, 10), now);
      },
      true},
     {"Left", "a flow for an upstream that has ended",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport());
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(), now);
        gate.onLeft("i-1");
      },
      true},
     {"OtherLeft", "the end of one upstream that ends another",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport());
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(), now);
        gate.onLeft("i-2");
      },
      false},
     {"Silent", "a flow for an upstream that has crashed",
      [](UpstreamGate &gate, TimePoint &now) {
-       gate.onReport(makeReport());
+       gate.onReport(makeReport(), now);
        now += UpstreamGateOptions{}.ReportTimeout;
      },
      true},
     {"Withdrawn", "a flow for a data centre that is out",
-     [](UpstreamGate &gate, TimePoint &) {
-       gate.onReport(makeReport());
+     [](UpstreamGate &gate, TimePoint &now) {
+       gate.onReport(makeReport(), now);
        gate.setWithdrawn(true);
      },
      true},
