Share the connection for announcements between both agents

Cause: AgentDaemon and RelayAgent each kept a connection to control, its time-out, the state that control had given and the change to the next control instance. The two copies had drifted apart: only RelayAgent logged a lost control instance, a frame it could not decode and an announcement it could not encode; only AgentDaemon counted such frames.

Ruled out: ControlLink of the balancer as a common base. It follows the table and the lease, and leaves an instance when no lease is granted; nothing but the construction of the TCP client is the same.

Change: AnnouncementLink holds all of it, with the logs of one agent and the count of the other. A stale comment of TcpClient on its tries is corrected.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -12,10 +12,6 @@
 constexpr Duration StepInterval{50};
 constexpr Duration PlacementTickInterval{1000};
 
-/// A control instance that has not answered for this long is left for the next
-/// one.
-constexpr Duration ControlTimeout{2500};
-
 /// Time for the last answers and the last announcement to leave the process.
 constexpr Duration LeaveTime{500};
 
@@ -50,14 +46,11 @@
         sendAnswer(flow, message);
       });
 
-  TcpHandlers handlers;
-  handlers.OnOpen = [this](ConnectionId) { announce(); };
-  handlers.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
-    onControlFrame(frame);
-  };
-  handlers.OnClose = [](ConnectionId) {};
-  LastReplyAt = steadyNow();
-  Control = connectTcp(Context, Settings.Control, std::move(handlers));
+  Control = std::make_unique<AnnouncementLink>(
+      Context, Settings.Control,
+      AnnouncementLink::Handlers{
+          [this] { announce(); },
+          [this](const AnnounceReply &reply) { onReply(reply); }});
   AnnounceTimer = startTimer(Context, AnnounceInterval, [this] { announce(); });
   StepTimer = startTimer(Context, StepInterval, [this] { step(); });
   logEvent(
@@ -141,45 +134,15 @@
   message.Flows = static_cast<std::uint32_t>(Placement->flowCount());
   message.Draining = StopBegan.has_value();
   message.Leaving = LeavingSince.has_value();
-  Bytes buf;
-  if (encodeNode(message, buf).ok())
-    Control->send(buf);
-  const TimePoint now = steadyNow();
-  if (now - LastReplyAt > ControlTimeout) {
-    LastReplyAt = now;
-    Control->reconnect();
-  }
+  Control->send(message, steadyNow());
 }
 
-void AgentDaemon::onControlFrame(std::span<const std::byte> frame) {
-  const auto message = decodeNode(frame);
-  const auto *reply =
-      message.ok() ? std::get_if<AnnounceReply>(&*message) : nullptr;
-  if (reply == nullptr) {
-    ++BadDatagrams;
-    return;
-  }
-  if (LastResult != reply->Result) {
-    const bool isProblem = reply->Result == AnnounceResult::Rejected ||
-                           reply->Result == AnnounceResult::Unavailable;
-    logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
-             "control has given this upstream a state",
-             {{"result", std::string(nameOf(reply->Result))},
-              {"upstream", std::to_string(reply->Upstream.Value)},
-              {"reason", reply->Reason}});
-    LastResult = reply->Result;
-  }
-  if (reply->Result == AnnounceResult::Unavailable) {
-    Control->reconnect();
-    return;
-  }
+void AgentDaemon::onReply(const AnnounceReply &reply) {
   const TimePoint now = steadyNow();
-  LastReplyAt = now;
-  Requests->setSlots(reply->Slots == 0
-                         ? Settings.Slots
-                         : std::min(Settings.Slots, reply->Slots));
+  Requests->setSlots(reply.Slots == 0 ? Settings.Slots
+                                      : std::min(Settings.Slots, reply.Slots));
   PlacementOutput output;
-  Placement->onAnnounceReply(*reply, now, output);
+  Placement->onAnnounceReply(reply, now, output);
   carryOut(std::move(output), now);
 }
 
@@ -193,7 +156,8 @@
     Placement->tick(now, output);
     carryOut(std::move(output), now);
     Published->update(*Placement, {Requests->limit(), Requests->inFlight(),
-                                   Requests->badPayloads(), BadDatagrams});
+                                   Requests->badPayloads(),
+                                   BadDatagrams + Control->badFrames()});
   }
   if (StopBegan)
     checkStop(now);
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AgentMetrics.h"
+#include "AnnouncementLink.h"
 #include "RequestRunner.h"
 
 #include "Placement/Placement.h"
@@ -27,7 +28,7 @@
 
 private:
   void onDatagram(std::span<const std::byte> buf, const Endpoint &from);
-  void onControlFrame(std::span<const std::byte> frame);
+  void onReply(const AnnounceReply &reply);
   void carryOut(PlacementOutput output, TimePoint now);
   void sendDatagram(const OutgoingDatagram &datagram);
   void sendAnswer(const SessionKey &flow, const SessionMessage &message);
@@ -44,13 +45,11 @@
   std::unique_ptr<FlowPlacement> Placement;
   std::unique_ptr<RequestRunner> Requests;
   std::unique_ptr<UdpEndpoint> Udp;
-  std::unique_ptr<TcpClient> Control;
+  std::unique_ptr<AnnouncementLink> Control;
   std::unique_ptr<PeriodicTimer> AnnounceTimer;
   std::unique_ptr<PeriodicTimer> StepTimer;
-  std::optional<AnnounceResult> LastResult;
   std::optional<TimePoint> StopBegan;
   std::optional<TimePoint> LeavingSince;
-  TimePoint LastReplyAt{};
   TimePoint LastPlacementTick{};
   std::uint64_t BadDatagrams = 0;
 };
--- /dev/null
+++ b/Source/Agent/AnnouncementLink.cpp
@@ -0,0 +1,77 @@
+#include "AnnouncementLink.h"
+
+#include "Telemetry/Telemetry.h"
+
+#include <variant>
+
+namespace pistachio {
+namespace {
+
+/// A control instance that has not answered for this long is left for the next
+/// one.
+constexpr Duration ControlTimeout{2500};
+
+} // namespace
+
+AnnouncementLink::AnnouncementLink(boost::asio::io_context &context,
+                                   std::vector<Endpoint> control,
+                                   Handlers handlers)
+    : Callbacks(std::move(handlers)), LastReplyAt(steadyNow()) {
+  TcpHandlers tcp;
+  tcp.OnOpen = [this](ConnectionId) { Callbacks.OnOpen(); };
+  tcp.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
+    onFrame(frame);
+  };
+  tcp.OnClose = [](ConnectionId) {};
+  Client = connectTcp(context, std::move(control), std::move(tcp));
+}
+
+void AnnouncementLink::send(const Announce &message, TimePoint now) {
+  Bytes buf;
+  if (const absl::Status encoded = encodeNode(message, buf); !encoded.ok())
+    logEvent(LogLevel::Error, "encode_failed",
+             "the announcement exceeds its bounds",
+             {{"error", encoded.ToString()}});
+  else
+    Client->send(buf);
+  if (now - LastReplyAt <= ControlTimeout)
+    return;
+  LastReplyAt = now;
+  logEvent(LogLevel::Warning, "control_lost",
+           "the control instance does not answer; trying the next one");
+  Client->reconnect();
+}
+
+void AnnouncementLink::onFrame(std::span<const std::byte> frame) {
+  const auto message = decodeNode(frame);
+  const auto *reply =
+      message.ok() ? std::get_if<AnnounceReply>(&*message) : nullptr;
+  if (reply == nullptr) {
+    ++BadFrames;
+    logEvent(LogLevel::Warning, "control_message_invalid",
+             message.ok() ? "unexpected kind" : message.status().ToString());
+    return;
+  }
+  noteResult(*reply);
+  if (reply->Result == AnnounceResult::Unavailable) {
+    Client->reconnect();
+    return;
+  }
+  LastReplyAt = steadyNow();
+  Callbacks.OnReply(*reply);
+}
+
+void AnnouncementLink::noteResult(const AnnounceReply &reply) {
+  if (LastResult == reply.Result)
+    return;
+  LastResult = reply.Result;
+  const bool isProblem = reply.Result == AnnounceResult::Rejected ||
+                         reply.Result == AnnounceResult::Unavailable;
+  logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
+           "control has given this upstream a state",
+           {{"result", std::string(nameOf(reply.Result))},
+            {"upstream", std::to_string(reply.Upstream.Value)},
+            {"reason", reply.Reason}});
+}
+
+} // namespace pistachio
--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -9,9 +9,6 @@
 
 constexpr Duration StepInterval{100};
 constexpr Duration AnnounceInterval{1000};
-/// A control instance that has not answered for this long is left for the next
-/// one.
-constexpr Duration ControlTimeout{2500};
 /// Time for the last announcement to leave the process.
 constexpr Duration LeaveTime{200};
 /// Reports that may be lost before the upstream takes no new flows.
@@ -87,14 +84,11 @@
     return reports.status();
   Reports = *std::move(reports);
 
-  TcpHandlers handlers;
-  handlers.OnOpen = [this](ConnectionId) { announce(); };
-  handlers.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
-    onControlFrame(frame);
-  };
-  handlers.OnClose = [](ConnectionId) {};
-  LastReplyAt = steadyNow();
-  Control = connectTcp(Context, Settings.Control, std::move(handlers));
+  Control = std::make_unique<AnnouncementLink>(
+      Context, Settings.Control,
+      AnnouncementLink::Handlers{
+          [this] { announce(); },
+          [this](const AnnounceReply &reply) { onReply(reply); }});
   StepTimer = startTimer(Context, StepInterval, [this] { step(); });
   logEvent(LogLevel::Info, "agent_started", "waiting for the upstream",
            {{"service", Settings.Service},
@@ -224,47 +218,14 @@
   message.Flows = Gate->load().Flows;
   message.Draining = state == GateState::Draining;
   message.Leaving = state == GateState::Ended;
-  Bytes buf;
-  if (const absl::Status encoded = encodeNode(message, buf); !encoded.ok()) {
-    logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
-    return;
-  }
-  Control->send(buf);
-  if (now - LastReplyAt > ControlTimeout) {
-    LastReplyAt = now;
-    logEvent(LogLevel::Warning, "control_lost",
-             "the control instance does not answer; trying the next one");
-    Control->reconnect();
-  }
+  Control->send(message, now);
 }
 
-void RelayAgent::onControlFrame(std::span<const std::byte> frame) {
-  const auto message = decodeNode(frame);
-  const auto *reply =
-      message.ok() ? std::get_if<AnnounceReply>(&*message) : nullptr;
-  if (reply == nullptr) {
-    logEvent(LogLevel::Warning, "control_message_invalid", "");
-    return;
-  }
-  if (LastResult != reply->Result) {
-    const bool isProblem = reply->Result == AnnounceResult::Rejected ||
-                           reply->Result == AnnounceResult::Unavailable;
-    logEvent(isProblem ? LogLevel::Warning : LogLevel::Info, "announce_result",
-             "control has given this upstream a state",
-             {{"result", std::string(nameOf(reply->Result))},
-              {"upstream", std::to_string(reply->Upstream.Value)},
-              {"reason", reply->Reason}});
-    LastResult = reply->Result;
-  }
-  if (reply->Result == AnnounceResult::Unavailable) {
-    Control->reconnect();
-    return;
-  }
-  LastReplyAt = steadyNow();
-  if (reply->Result == AnnounceResult::Rejected)
+void RelayAgent::onReply(const AnnounceReply &reply) {
+  if (reply.Result == AnnounceResult::Rejected)
     return;
-  Gate->setWithdrawn(reply->Result == AnnounceResult::DataCentreOut ||
-                     reply->Result == AnnounceResult::Draining);
+  Gate->setWithdrawn(reply.Result == AnnounceResult::DataCentreOut ||
+                     reply.Result == AnnounceResult::Draining);
 }
 
 void RelayAgent::step() {
@@ -306,7 +267,7 @@
 }
 
 void RelayAgent::reload(const AgentSettings &settings) {
-  Control->setServers(settings.Control);
+  Control->setControl(settings.Control);
 }
 
 } // namespace pistachio
--- a/Source/Agent/RelayAgent.h
+++ b/Source/Agent/RelayAgent.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "AnnouncementLink.h"
+
 #include "Relay/Relay.h"
 #include "Runtime/Runtime.h"
 #include "Settings/Settings.h"
@@ -31,7 +33,7 @@
 
   void onInnerDatagram(std::span<const std::byte> buf, const Endpoint &from);
   void onUpstreamDatagram(std::span<const std::byte> buf);
-  void onControlFrame(std::span<const std::byte> frame);
+  void onReply(const AnnounceReply &reply);
   void carryOut(const GateOutput &output);
   void announce();
   void noteState();
@@ -48,12 +50,10 @@
   std::unique_ptr<UdpEndpoint> Inner;
   std::unique_ptr<UdpEndpoint> Outbound;
   std::unique_ptr<HttpServer> Reports;
-  std::unique_ptr<TcpClient> Control;
+  std::unique_ptr<AnnouncementLink> Control;
   std::unique_ptr<PeriodicTimer> StepTimer;
   GateState LastState = GateState::Waiting;
   std::uint64_t AnnouncedBorn = 0;
-  std::optional<AnnounceResult> LastResult;
-  TimePoint LastReplyAt{};
   TimePoint LastAnnounce{};
   std::optional<TimePoint> StopBegan;
   /// Reused for every datagram.
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -145,7 +145,7 @@
     std::size_t Next = 0;
     std::uint64_t LastId = 0;
     Duration BackOff = FirstBackOff;
-    /// Since the last connection.
+    /// Since a server has last answered.
     int Tries = 0;
     bool Stopped = false;
   };
