Repeat a pre-vote that did not win after 50 to 100 ms

A member refuses votes for 400 ms after its own start, because a former leader may hold a lease. The member that had started first asked before that time was over for the others, and then waited for another election timeout of 400 to 800 ms.

Ruled out: a shorter time of refusal after a start; the lease of reads relies on it.

Change: a pre-vote that did not win is repeated after 50 to 100 ms. It changes no state at the receivers. An election itself keeps its timeout.

--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -101,6 +101,10 @@
   Duration HeartbeatInterval{100};
   Duration ElectionTimeoutMin{400};
   Duration ElectionTimeoutMax{800};
+  /// Pause after a pre-vote that did not win: some round trips between data
+  /// centres and syncs, spread so that two members do not ask in step.
+  Duration PreVoteRetryMin{50};
+  Duration PreVoteRetryMax{100};
   std::size_t MaxEntriesInFlight = MaxEntriesInAppend;
   /// Seeds the election timeouts.
   std::uint64_t Seed = 1;
--- a/Source/Core/Consensus/Election.cpp
+++ b/Source/Core/Consensus/Election.cpp
@@ -5,15 +5,19 @@
 namespace pistachio {
 
 void Node::resetElectionDeadline(TimePoint now) {
-  const auto span = static_cast<std::uint64_t>(
-      (Options.ElectionTimeoutMax - Options.ElectionTimeoutMin).count());
+  drawElectionDeadline(now, Options.ElectionTimeoutMin,
+                       Options.ElectionTimeoutMax);
+}
+
+void Node::drawElectionDeadline(TimePoint now, Duration min, Duration max) {
+  const auto span = static_cast<std::uint64_t>((max - min).count());
   // The streams of two members must not run in step, or their votes split at
   // every election.
   const std::uint64_t stream =
       mix64(Options.Seed * 0x9E3779B97F4A7C15ULL ^ mix64(Self.Value));
   const std::uint64_t draw = mix64(stream + ++TimeoutsDrawn);
-  ElectionDeadline = now + Options.ElectionTimeoutMin +
-                     Duration(static_cast<std::int64_t>(draw % (span + 1)));
+  ElectionDeadline =
+      now + min + Duration(static_cast<std::int64_t>(draw % (span + 1)));
 }
 
 /// False if the new term could not be stored.
@@ -35,7 +39,9 @@
 // that a member that was cut off does not depose a working leader with its
 // higher term when it returns.
 void Node::startPreVote(TimePoint now, ConsensusOutput &output) {
-  resetElectionDeadline(now);
+  // Members that have just started refuse until the lease of a former leader is
+  // over. A pre-vote changes nothing at them, so it may be repeated soon.
+  drawElectionDeadline(now, Options.PreVoteRetryMin, Options.PreVoteRetryMax);
   LeaderId = {};
   if (!mayLead())
     return;
--- a/Source/Core/Consensus/Node.h
+++ b/Source/Core/Consensus/Node.h
@@ -103,6 +103,7 @@
 
   // Election.cpp
   void resetElectionDeadline(TimePoint now);
+  void drawElectionDeadline(TimePoint now, Duration min, Duration max);
   bool becomeFollower(std::uint64_t term, MemberId leader, TimePoint now);
   void startPreVote(TimePoint now, ConsensusOutput &output);
   void startElection(TimePoint now, ConsensusOutput &output);
--- a/Source/UnitTests/Consensus/GroupFaultTest.cpp
+++ b/Source/UnitTests/Consensus/GroupFaultTest.cpp
@@ -384,5 +384,29 @@
   EXPECT_EQ(group.violations(), "");
 }
 
+class StaggeredRestartTest : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against a group that stays without a leader for a second election
+// timeout after a loss of power: the only member whose log is long enough asks
+// for votes before the other one, which starts a little later, may grant them.
+TEST_P(StaggeredRestartTest, ElectsWithinOneElectionTimeout) {
+  Group group(3, GetParam());
+  ASSERT_TRUE(group.proposeMany(5));
+  const std::size_t longest = *group.leader();
+  ASSERT_TRUE(group.propose(longest).ok());
+  for (std::size_t i = 0; i < 3; ++i)
+    group.crash(i);
+  group.start(longest);
+  group.run(Duration(150));
+  group.start((longest + 1) % 3);
+  EXPECT_EQ(group.waitForLeader(ConsensusOptions{}.ElectionTimeoutMax),
+            longest);
+  group.settle();
+  EXPECT_EQ(group.violations(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StaggeredRestartTest,
+                         testing::Range<std::uint64_t>(100, 130));
+
 } // namespace
 } // namespace pistachio
