Connect to the other members as soon as a member starts

Cause: a restarted member has seen no leader, so it asked to join instead of following its member list, and opened links only when it sent something.

Ruled out: queuing messages until a link is open; consensus messages are old by then and are repeated anyway.

Change: the links follow the member list at each tick, also while the member asks to join.

Figures: the new test fails before and passes after.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -194,6 +194,8 @@
   Control->receive(message, now);
   // A leader that still has this address in its list has found an instance that
   // has lost everything, and perhaps knows nobody else.
+  // The questions to the seeds have a limit of their own, which would be used
+  // up at nearly every time.
   if (std::holds_alternative<AppendRequest>(message) &&
       Membership->needsToJoin(now) && now - LastJoin >= JoinInterval) {
     LastJoin = now;
@@ -209,10 +211,9 @@
   Nodes->tick(now);
   Calls->tick(now);
   Backend->retryOrders();
+  followMembers();
   if (Membership->needsToJoin(now))
     askToJoin(now);
-  else
-    followMembers();
   declareDataCentres(now);
   greetSeeds(now);
   confirmLeader(now);
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -1,5 +1,6 @@
 #include "ControlDaemon/ControlDaemon.h"
 #include "Control/ControlScript.h"
+#include "Runtime/RunUntil.h"
 
 #include <gtest/gtest.h>
 
@@ -370,5 +371,56 @@
   waitForGroup(3, 3);
 }
 
+/// An address at which only connections are counted.
+class SilentPeer {
+public:
+  SilentPeer(
+      boost::asio::io_context &context, const Endpoint &local,
+      std::function<void()> onOpen = [] {}) {
+    TcpHandlers handlers;
+    handlers.OnOpen = [this, onOpen = std::move(onOpen)](ConnectionId) {
+      ++Opened;
+      onOpen();
+    };
+    handlers.OnClose = [](ConnectionId) {};
+    handlers.OnFrame = [](ConnectionId, std::span<const std::byte>) {};
+    auto server = listenTcp(context, local, std::move(handlers));
+    if (!server.ok())
+      throw std::runtime_error(server.status().ToString());
+    Server = *std::move(server);
+  }
+
+  int Opened = 0;
+
+private:
+  std::unique_ptr<TcpServer> Server;
+};
+
+// Guards against votes that are lost because the connection for them is made
+// only then: after a loss of power the first election of each member failed.
+TEST_F(SeededGroupTest, RestartedMemberConnectsToTheOthersBeforeItsElection) {
+  makeSeeded(3, 0);
+  startAll();
+  waitForGroup(3, 3);
+  for (const auto &it : Instances)
+    it->stop();
+  boost::asio::io_context context(1);
+  SilentPeer first(context, Instances[1]->Settings.Peers);
+  SilentPeer second(context, Instances[2]->Settings.Peers);
+  // Seeds are asked one after the other, the second one before any election.
+  ControlSettings &settings = Instances[0]->Settings;
+  settings.FoundGroup = false;
+  settings.Seeds.clear();
+  std::deque<SilentPeer> seeds;
+  for (const std::size_t i : {10, 11, 12}) {
+    settings.Seeds.push_back(at(i, settings.Peers.Port));
+    seeds.emplace_back(context, settings.Seeds.back());
+  }
+  ASSERT_TRUE(Instances[0]->start(false).ok());
+  ASSERT_TRUE(runUntil(context, [&] { return seeds[1].Opened > 0; }));
+  EXPECT_EQ(first.Opened, 1);
+  EXPECT_EQ(second.Opened, 1);
+}
+
 } // namespace
 } // namespace pistachio
