Answer the leader that finds an instance without memory at once

Cause: an instance without memory answers a leader's message with a request to join, but shared the limit of one request in 250 ms with its own questions to the seeds, which use it up at nearly every time.

Ruled out: the connect timeout of 500 ms towards instances without power; the leader's links were open by then.

Change: the answer has a limit of its own, one in 40 ms.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -197,8 +197,8 @@
   // The questions to the seeds have a limit of their own, which would be used
   // up at nearly every time.
   if (std::holds_alternative<AppendRequest>(message) &&
-      Membership->needsToJoin(now) && now - LastJoin >= JoinInterval) {
-    LastJoin = now;
+      Membership->needsToJoin(now) && now - LastInvitation >= JoinRetry) {
+    LastInvitation = now;
     Links->send(Endpoint{}, Membership->joinRequest());
   }
 }
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -75,6 +75,7 @@
   std::unique_ptr<PeriodicTimer> Timer;
   std::optional<TimePoint> StopBy;
   TimePoint LastJoin{};
+  TimePoint LastInvitation{};
   TimePoint LastConfirmation{};
   TimePoint LastDeclaration{};
   TimePoint LastGreeting{};
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -422,5 +422,43 @@
   EXPECT_EQ(second.Opened, 1);
 }
 
+// Guards against an instance that has lost everything and answers the leader
+// that has found it only now and then: it came back 0.9 s after the leader.
+TEST_F(SeededGroupTest, InstanceWithoutMemoryAnswersTheLeaderAtOnce) {
+  makeSeeded(1, 1);
+  boost::asio::io_context context(1);
+  ControlSettings &settings = Instances[0]->Settings;
+  settings.FoundGroup = false;
+  settings.Seeds.clear();
+  int answers = 0;
+  TcpHandlers handlers;
+  handlers.OnOpen = handlers.OnClose = [](ConnectionId) {};
+  handlers.OnFrame = [&](ConnectionId, std::span<const std::byte> frame) {
+    const auto message = decodeConsensus(frame);
+    answers += message.ok() && std::holds_alternative<JoinRequest>(*message);
+  };
+  const auto leader = connectTcp(context, {settings.Peers}, handlers);
+  // The moment after a question to a seed is the one at which the answer to the
+  // leader was held back.
+  AppendRequest heartbeat;
+  heartbeat.From = MemberId{5};
+  heartbeat.Term = 1;
+  Bytes append;
+  ASSERT_TRUE(encodeConsensus(heartbeat, append).ok());
+  std::deque<SilentPeer> seeds;
+  int asked = 0;
+  constexpr int Seeds = 10;
+  for (std::size_t i = 10; i < 10 + Seeds; ++i) {
+    settings.Seeds.push_back(at(i, settings.Peers.Port));
+    seeds.emplace_back(context, settings.Seeds.back(), [&] {
+      ++asked;
+      leader->send(append);
+    });
+  }
+  ASSERT_TRUE(Instances[0]->start(false).ok());
+  ASSERT_TRUE(runUntil(context, [&] { return answers > 0 || asked == Seeds; }));
+  EXPECT_GT(answers, 0);
+}
+
 } // namespace
 } // namespace pistachio
