Keep the note of committed entries through a loss of power

Cause: a restarted member publishes at once what it knows to be committed, but the note of it was written without a sync.

Ruled out: a commit index in each record of the log, which saves the sync but changes the format of the folder.

Change: the note is synced, at most five times a second and only after a change. Such a table may lack the last changes before the loss; the leader brings them.

Figures: CommitNoteTest fails before and passes after.

--- a/Source/Core/Consensus/Consensus.h
+++ b/Source/Core/Consensus/Consensus.h
@@ -82,8 +82,9 @@
   virtual absl::Status sync() = 0;
 
   /// Entries up to here were committed when this was last noted; 0 if unknown.
-  /// A lower bound, which may be lost: it is written without a sync.
+  /// A lower bound of the entries that are committed; 0 if none is known.
   virtual std::uint64_t committedBound() const { return 0; }
+  /// Durable after sync().
   virtual absl::Status noteCommitted(std::uint64_t /*index*/) {
     return absl::OkStatus();
   }
--- a/Source/Core/Consensus/FileStorage/FileLogStorage.cpp
+++ b/Source/Core/Consensus/FileStorage/FileLogStorage.cpp
@@ -176,6 +176,7 @@
   /// Open from the first note on.
   std::optional<File> CommittedFile;
   std::uint64_t Committed = 0;
+  bool IsNoteSynced = true;
 };
 
 absl::Status
@@ -286,12 +287,18 @@
   Bytes buf(CommittedBytes);
   storeLittle(buf.data(), index, 8);
   storeLittle(buf.data() + 8, checksum32(std::span(buf).first(8)), 4);
+  IsNoteSynced = false;
   return CommittedFile->writeAt(0, buf);
 }
 
 absl::Status FileLogStorage::sync() {
   if (absl::Status status = Log.sync(); !status.ok())
     return status;
+  if (!IsNoteSynced) {
+    if (absl::Status status = CommittedFile->sync(); !status.ok())
+      return status;
+    IsNoteSynced = true;
+  }
   return State.sync();
 }
 
--- a/Source/Core/Consensus/Node.cpp
+++ b/Source/Core/Consensus/Node.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::uint64_t BootstrapTerm = 1;
-/// Bounds the writes of the note; a restart within it begins with a table that
+/// Bounds the syncs of the note; a restart within it begins with a table that
 /// is at most this much older.
 constexpr Duration CommitNoteInterval{200};
 constexpr std::size_t LoadBatchEntries = 1024;
@@ -209,9 +209,11 @@
     return;
   NotedAt = now;
   NotedCommit = CommitIndex;
-  // Without the note the next start only waits for an election, so a failure is
-  // no reason to stop. A disk that fails shows at the next append.
-  (void)Storage.noteCommitted(CommitIndex);
+  // Without the note the next start only waits for an election, so a full disk
+  // is no reason to stop. After any other failure the state of the disk is not
+  // known.
+  if (Storage.noteCommitted(CommitIndex).ok())
+    check(Storage.sync());
 }
 
 void Node::emitCommitted(ConsensusOutput &output) {
--- a/Source/UnitTests/Consensus/GroupDriver.h
+++ b/Source/UnitTests/Consensus/GroupDriver.h
@@ -34,7 +34,10 @@
   /// Control: reports success without making anything durable.
   bool IgnoresSync = false;
 
-  void crash() { Live = Durable; }
+  void crash() {
+    Live = Durable;
+    Noted = DurableNoted;
+  }
   void pass(Step step) {
     if (CrashAt == step) {
       CrashAt = Step::None;
@@ -71,15 +74,25 @@
   }
   absl::Status sync() override {
     pass(Step::BeforeSync);
-    if (!IgnoresSync)
+    if (!IgnoresSync) {
       Durable = Live;
+      DurableNoted = Noted;
+    }
     pass(Step::AfterSync);
     return absl::OkStatus();
   }
 
+  std::uint64_t committedBound() const override { return Noted; }
+  absl::Status noteCommitted(std::uint64_t index) override {
+    Noted = index;
+    return absl::OkStatus();
+  }
+
 private:
   MemoryLogStorage Live;
   MemoryLogStorage Durable;
+  std::uint64_t Noted = 0;
+  std::uint64_t DurableNoted = 0;
 };
 
 /// Shares are per 1000 messages; a delay range wider than the step reorders.
--- a/Source/UnitTests/Consensus/GroupFaultTest.cpp
+++ b/Source/UnitTests/Consensus/GroupFaultTest.cpp
@@ -408,5 +408,20 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, StaggeredRestartTest,
                          testing::Range<std::uint64_t>(100, 130));
 
+// Guards against a member that knows after a loss of power only what its last
+// snapshot holds, and has no table for balancers until there is a leader.
+TEST(CommitNoteTest, SurvivesALossOfPower) {
+  Group group(3, 31);
+  ASSERT_TRUE(group.proposeMany(20));
+  group.run(Settled);
+  for (std::size_t i = 0; i < 3; ++i)
+    group.crash(i);
+  group.start(0);
+  group.run(Duration(20));
+  EXPECT_EQ(group.Hosts[0].Applied.size(), 20U);
+  group.settle();
+  EXPECT_EQ(group.violations(), "");
+}
+
 } // namespace
 } // namespace pistachio
