Name the control instances to balancers and agents

Cause: balancers and agents know only their seeds. Balancers waited for the relays to join again; besides, their first connection went to an instance without power and took 500 ms to fail.

Ruled out: control on the first entry instance of each data centre only, which leaves three voters where two disks may be lost; relays that copy the table to nodes before they belong to a group, a second way to a table.

Change: a control instance sends ControlInstances to each node when it connects and when the group changes. Without a leader each voter greets all members ten times a second, and an instance without a group names those that have greeted. Nodes try the named ones first, in random order, then the configured ones. A connection attempt takes 200 ms at most.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -14,6 +14,8 @@
 constexpr Duration JoinRetry{40};
 constexpr Duration DeclarationInterval{500};
 constexpr Duration GreetingInterval{250};
+/// After a loss of power nodes wait for it; as often as a leader's heartbeat.
+constexpr Duration LeaderlessGreetingInterval{100};
 /// A lease lasts seconds, so it can still be granted when some of these
 /// questions are lost.
 constexpr Duration ConfirmInterval{250};
@@ -215,7 +217,8 @@
   if (Membership->needsToJoin(now))
     askToJoin(now);
   declareDataCentres(now);
-  greetSeeds(now);
+  greet(now);
+  nameInstances();
   confirmLeader(now);
   logRoleChange();
   const ConsensusNode &node = Control->node();
@@ -263,16 +266,28 @@
   }
 }
 
-/// Seeds may all be instances that have lost everything and know only each
-/// other; the leader tells them where it is.
-void ControlDaemon::greetSeeds(TimePoint now) {
-  if (!Control->isLeader() || now - LastGreeting < GreetingInterval)
+/// Seeds and relays may all be instances that have lost everything and know
+/// only each other.
+void ControlDaemon::greet(TimePoint now) {
+  const Duration interval =
+      Control->node().leader() ? GreetingInterval : LeaderlessGreetingInterval;
+  if (now - LastGreeting < interval)
     return;
   LastGreeting = now;
-  for (const Endpoint &it : Membership->unknownSeeds())
+  for (const Endpoint &it : Membership->toGreet())
     Links->send(it, JoinReply{false, Settings.Peers});
 }
 
+/// Instances that are found by seeds share their ports.
+void ControlDaemon::nameInstances() {
+  if (Settings.Seeds.empty())
+    return;
+  std::vector<Endpoint> instances = Membership->knownInstances();
+  for (Endpoint &it : instances)
+    it.Port = Settings.Nodes.Port;
+  Nodes->setInstances(std::move(instances));
+}
+
 void ControlDaemon::reload(const ControlSettings &settings) {
   Settings.Seeds = settings.Seeds;
   Membership->setSeeds(seedsOf(Settings));
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -46,7 +46,8 @@
   absl::Status open(bool initialise);
   absl::Status listen(const OperatorApi &operatorApi);
   void declareDataCentres(TimePoint now);
-  void greetSeeds(TimePoint now);
+  void greet(TimePoint now);
+  void nameInstances();
   ReplicatedControl::Hooks hooks();
   PeerLinks::Handlers peerHandlers();
   void onConsensus(const ConsensusMessage &message);
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -55,6 +55,9 @@
 
 void GroupMembership::onJoinReply(const JoinReply &reply, TimePoint now) {
   JoinHint = reply.Leader;
+  if (reply.Leader.Port != 0 && Greeters.size() < MaxMembers &&
+      std::ranges::find(Greeters, reply.Leader) == Greeters.end())
+    Greeters.push_back(reply.Leader);
   if (reply.Found && Options.FoundsGroup && Options.MayVote && !isListed())
     found(now);
 }
@@ -144,12 +147,28 @@
   return !isListed() || now - LeaderSeenAt >= LeaderlessBeforeJoin;
 }
 
-std::vector<Endpoint> GroupMembership::unknownSeeds() const {
-  std::vector<Endpoint> seeds = Options.Seeds;
-  std::erase(seeds, Options.Self);
+std::vector<Endpoint> GroupMembership::toGreet() const {
+  const bool hasLeader = Control.node().leader().has_value();
+  const bool isListedVoter = Options.MayVote && isListed();
+  if (hasLeader ? !Control.isLeader() : !isListedVoter)
+    return {};
+  std::vector<Endpoint> receivers = Options.Seeds;
+  std::erase(receivers, Options.Self);
+  for (const Member &it : Control.node().members()) {
+    std::erase(receivers, it.Address);
+    if (!hasLeader && it.Address != Options.Self)
+      receivers.push_back(it.Address);
+  }
+  return receivers;
+}
+
+std::vector<Endpoint> GroupMembership::knownInstances() const {
+  if (!isListed())
+    return Greeters;
+  std::vector<Endpoint> known;
   for (const Member &it : Control.node().members())
-    std::erase(seeds, it.Address);
-  return seeds;
+    known.push_back(it.Address);
+  return known;
 }
 
 std::optional<Endpoint> GroupMembership::nextJoinTarget() {
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -41,8 +41,11 @@
   JoinRequest joinRequest() const {
     return {Control.identity(), Options.Self, Options.MayVote};
   }
-  /// Seeds that are not in the group.
-  std::vector<Endpoint> unknownSeeds() const;
+  /// Who should hear where this instance is, because it may know nobody: seeds
+  /// outside the group, and all members while there is no leader.
+  std::vector<Endpoint> toGreet() const;
+  /// Members of the group; without one, the instances that have greeted.
+  std::vector<Endpoint> knownInstances() const;
   /// Where to ask for admission; each call names the next. Nothing if no other
   /// instance is known.
   std::optional<Endpoint> nextJoinTarget();
@@ -60,6 +63,7 @@
   /// The instance that was told to make the group.
   std::optional<JoinRequest> Founder;
   Endpoint JoinHint;
+  std::vector<Endpoint> Greeters;
   std::size_t NextTarget = 0;
   TimePoint LeaderSeenAt{};
 };
--- a/Source/ControlDaemon/NodeChannel.cpp
+++ b/Source/ControlDaemon/NodeChannel.cpp
@@ -13,6 +13,8 @@
   TcpHandlers handlers;
   handlers.OnOpen = [this](ConnectionId id) {
     Connections[id].Budget = static_cast<std::int64_t>(Options.BurstBytes);
+    if (!Instances.empty())
+      reply(id, ControlInstances{Instances});
   };
   handlers.OnClose = [this](ConnectionId id) { Connections.erase(id); };
   handlers.OnFrame = [this](ConnectionId id, std::span<const std::byte> frame) {
@@ -86,6 +88,16 @@
     push(id, connection);
 }
 
+void NodeChannel::setInstances(std::vector<Endpoint> instances) {
+  if (instances.size() > MaxControlInstances)
+    instances.resize(MaxControlInstances);
+  if (instances == Instances)
+    return;
+  Instances = std::move(instances);
+  for (const auto &[id, connection] : Connections)
+    reply(id, ControlInstances{Instances});
+}
+
 void NodeChannel::queueUpdates(Connection &connection) {
   for (TableUpdate &it : Control.state().updatesSince(connection.Sent)) {
     connection.Sent = it.To;
--- a/Source/ControlDaemon/NodeChannel.h
+++ b/Source/ControlDaemon/NodeChannel.h
@@ -32,6 +32,8 @@
   absl::Status listen(boost::asio::io_context &context, const Endpoint &local);
   /// The published revision changed.
   void publish();
+  /// Where nodes reach the control instances that are known here.
+  void setInstances(std::vector<Endpoint> instances);
   void tick(TimePoint now);
   void stop();
 
@@ -73,6 +75,7 @@
   LeaseAuthority &Leases;
   std::unique_ptr<TcpServer> Server;
   std::map<ConnectionId, Connection> Connections;
+  std::vector<Endpoint> Instances;
   TimePoint LastTick{};
   std::uint64_t Granted = 0;
   std::uint64_t Refused = 0;
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -89,6 +89,9 @@
   virtual void reconnect() = 0;
   /// Used from the next connection on.
   virtual void setServers(std::vector<Endpoint> servers) = 0;
+  /// Servers that the present one has named. Tried first at the next
+  /// connection, in random order, and then the others.
+  virtual void setNamedServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
 
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -19,9 +19,9 @@
 constexpr Duration FirstMaxBackOff{200};
 constexpr int FirstTries = 15;
 constexpr Duration MaxBackOff{1000};
-/// Many round trips between data centres; a server that is cut off does not
-/// answer at all.
-constexpr Duration ConnectTimeout{500};
+/// Some round trips between regions; a server without power does not answer at
+/// all, and another one may.
+constexpr Duration ConnectTimeout{200};
 
 class AsioTcpClient : public TcpClient {
 public:
@@ -48,7 +48,15 @@
   }
 
   void setServers(std::vector<Endpoint> servers) override {
-    Shared->Servers = std::move(servers);
+    Shared->Configured = std::move(servers);
+    Shared->orderServers();
+  }
+
+  void setNamedServers(std::vector<Endpoint> servers) override {
+    Shared->Named = std::move(servers);
+    std::ranges::shuffle(Shared->Named, Shared->Random);
+    Shared->orderServers();
+    Shared->Next = 0;
   }
 
   void stop() override {
@@ -69,13 +77,22 @@
   struct State : std::enable_shared_from_this<State> {
     State(boost::asio::io_context &context, std::vector<Endpoint> servers,
           TcpHandlers handlers)
-        : Context(context), Timer(context), Servers(std::move(servers)),
-          Handlers(std::move(handlers)), Random(std::random_device{}()) {}
+        : Context(context), Timer(context), Configured(std::move(servers)),
+          Servers(Configured), Handlers(std::move(handlers)),
+          Random(std::random_device{}()) {}
+
+    void orderServers() {
+      Servers = Named;
+      std::ranges::copy_if(Configured, std::back_inserter(Servers),
+                           [&](const Endpoint &it) {
+                             return std::ranges::find(Named, it) == Named.end();
+                           });
+    }
 
     void connect() {
       if (Stopped || Servers.empty())
         return;
-      const Endpoint &server = Servers[Next++ % Servers.size()];
+      const Endpoint server = Servers[Next++ % Servers.size()];
       auto socket = std::make_shared<tcp::socket>(Context);
       Pending = socket;
       Timer.expires_after(ConnectTimeout);
@@ -137,6 +154,9 @@
 
     boost::asio::io_context &Context;
     boost::asio::steady_timer Timer;
+    std::vector<Endpoint> Configured;
+    std::vector<Endpoint> Named;
+    /// Both, in the order in which they are tried.
     std::vector<Endpoint> Servers;
     TcpHandlers Handlers;
     std::minstd_rand Random;
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -110,6 +110,11 @@
   field(archive, it.Slots);
 }
 
+template <typename Archive>
+void fields(Archive &archive, ControlInstances &it) {
+  list(archive, it.Addresses, MaxControlInstances, 6);
+}
+
 std::string_view nameOf(AnnounceResult result) {
   switch (result) {
   case AnnounceResult::Accepted:
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -182,8 +182,20 @@
                          const AnnounceReply &) = default;
 };
 
-using NodeMessage = std::variant<TableUpdate, Subscribe, LeaseRequest,
-                                 LeaseGrant, Announce, AnnounceReply>;
+inline constexpr std::size_t MaxControlInstances = 64;
+
+/// Control to node, when it connects and when the group changes: where other
+/// control instances can be reached. The configured ones may all be down or
+/// have lost their memory.
+struct ControlInstances {
+  std::vector<Endpoint> Addresses;
+  friend bool operator==(const ControlInstances &,
+                         const ControlInstances &) = default;
+};
+
+using NodeMessage =
+    std::variant<TableUpdate, Subscribe, LeaseRequest, LeaseGrant, Announce,
+                 AnnounceReply, ControlInstances>;
 
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf);
 absl::Status encodeNode(const NodeMessage &message, Bytes &out);
--- a/Source/UnitTests/Agent/AnnouncementLinkTest.cpp
+++ b/Source/UnitTests/Agent/AnnouncementLinkTest.cpp
@@ -14,7 +14,12 @@
   FakeControl(boost::asio::io_context &context,
               std::optional<AnnounceResult> result) {
     TcpHandlers handlers;
-    handlers.OnOpen = [this](ConnectionId) { ++Connections; };
+    handlers.OnOpen = [this](ConnectionId from) {
+      ++Connections;
+      Bytes buf;
+      if (!Named.empty() && encodeNode(ControlInstances{Named}, buf).ok())
+        Server->send(from, buf);
+    };
     handlers.OnClose = [](ConnectionId) {};
     handlers.OnFrame = [this, result](ConnectionId from,
                                       std::span<const std::byte> frame) {
@@ -37,6 +42,8 @@
   }
 
   std::unique_ptr<TcpServer> Server;
+  /// Other instances that it names when a node connects.
+  std::vector<Endpoint> Named;
   int Connections = 0;
   int Announcements = 0;
 };
@@ -110,6 +117,20 @@
   EXPECT_EQ(working.Connections, 1);
 }
 
+// Guards against an agent that knows only its seeds, which may all have lost
+// everything in a loss of power.
+TEST_F(AnnouncementLinkTest, FollowsTheInstancesThatItIsTold) {
+  FakeControl working(Context, AnnounceResult::Accepted);
+  FakeControl seed(Context, AnnounceResult::Unavailable);
+  seed.Named = {working.Server->endpoint()};
+  connect({seed.Server->endpoint()});
+  Link->send(makeAnnouncement(), steadyNow());
+  ASSERT_TRUE(runUntil(Context, [&] { return Opened == 2; }));
+  Link->send(makeAnnouncement(), steadyNow());
+  EXPECT_TRUE(runUntil(Context, [&] { return Replies == 1; }));
+  EXPECT_EQ(Link->badFrames(), 0U);
+}
+
 // Guards against frames of another kind that vanish without a count.
 TEST_F(AnnouncementLinkTest, CountsFramesThatAreNoReply) {
   TcpHandlers handlers;
--- a/Source/UnitTests/Balancer/ControlLinkTest.cpp
+++ b/Source/UnitTests/Balancer/ControlLinkTest.cpp
@@ -63,5 +63,42 @@
   link.stop();
 }
 
+/// A control instance without a table that names another one and closes.
+class FakeRedirect {
+public:
+  FakeRedirect(boost::asio::io_context &context, const Endpoint &named) {
+    TcpHandlers handlers;
+    handlers.OnOpen = [this, named](ConnectionId from) {
+      Bytes buf;
+      if (encodeNode(ControlInstances{{named}}, buf).ok())
+        Server->send(from, buf);
+    };
+    handlers.OnClose = [](ConnectionId) {};
+    handlers.OnFrame = [this](ConnectionId from, std::span<const std::byte>) {
+      Server->close(from);
+    };
+    auto server = listenTcp(context, {0x7F000001, 0}, std::move(handlers));
+    if (!server.ok())
+      throw std::runtime_error(server.status().ToString());
+    Server = *std::move(server);
+  }
+
+  std::unique_ptr<TcpServer> Server;
+};
+
+// Guards against a balancer that knows only its seeds, which may all have lost
+// everything in a loss of power, and has no table until they have joined again.
+TEST(ControlLinkTest, FollowsTheInstancesThatItIsTold) {
+  boost::asio::io_context context(1);
+  FakeControl working(context, 800);
+  FakeRedirect seed(context, working.Server->endpoint());
+  ControlLink link(
+      context,
+      {"balancer-1", "dc-a", {0x7F000001, 1}, {seed.Server->endpoint()}},
+      {[] {}, [](const LeaseGrant &, TimePoint) {}});
+  EXPECT_TRUE(runUntil(context, [&] { return working.Requests > 0; }));
+  link.stop();
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -92,6 +92,8 @@
         return;
       if (const auto *update = std::get_if<TableUpdate>(&*message))
         Table.receive(*update);
+      else if (const auto *known = std::get_if<ControlInstances>(&*message))
+        Client->setNamedServers(known->Addresses);
       else if (const auto *grant = std::get_if<LeaseGrant>(&*message))
         onGrant(*grant);
       else if (const auto *reply = std::get_if<AnnounceReply>(&*message))
@@ -371,6 +373,33 @@
   waitForGroup(3, 3);
 }
 
+// Guards against nodes without a table while there is no leader, because their
+// seeds have lost everything and do not say who has not.
+TEST_F(SeededGroupTest, SeedWithoutMemoryNamesAMemberThatHasATable) {
+  makeSeeded(4, 1);
+  startAll();
+  waitForGroup(3, 4);
+  const auto hasTable = [](const NodeProbe &it) {
+    return it.Table.DataCentres.size() == 2;
+  };
+  {
+    NodeProbe node(Instances[1]->Settings.Nodes);
+    ASSERT_TRUE(
+        node.waitFor([&] { return hasTable(node) && node.isLeased(); }));
+  }
+  for (const auto &it : Instances)
+    it->stop();
+  // One voter of three elects nobody.
+  for (const std::size_t i : {0, 1}) {
+    Instances[i]->Settings.FoundGroup = false;
+    Instances[i]->Settings.Seeds = {Instances[0]->Settings.Peers};
+    ASSERT_TRUE(Instances[i]->start(false).ok());
+  }
+  NodeProbe node(Instances[0]->Settings.Nodes);
+  EXPECT_TRUE(node.waitFor([&] { return hasTable(node); }));
+  EXPECT_FALSE(node.isLeased());
+}
+
 /// An address at which only connections are counted.
 class SilentPeer {
 public:
--- a/Source/UnitTests/Runtime/TcpTest.cpp
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -77,6 +77,51 @@
       runUntil(context, [&] { return second.Opened == 1 && opened == 2; }));
 }
 
+// Guards against a client that ignores the servers that it was told of, or
+// forgets the configured ones when none of those answers.
+TEST(TcpTest, NamedServersComeBeforeConfiguredOnes) {
+  boost::asio::io_context context;
+  EchoServer configured(context);
+  EchoServer named(context);
+  int opened = 0;
+  const auto client = connectTcp(
+      context, {configured.Tcp->endpoint()},
+      {[&](ConnectionId) { ++opened; },
+       [](ConnectionId, std::span<const std::byte>) {}, [](ConnectionId) {}});
+  ASSERT_TRUE(
+      runUntil(context, [&] { return configured.Opened == 1 && opened == 1; }));
+  client->setNamedServers({named.Tcp->endpoint()});
+  client->reconnect();
+  ASSERT_TRUE(runUntil(context, [&] { return named.Opened == 1; }));
+  named.Tcp->stop();
+  EXPECT_TRUE(runUntil(context, [&] { return configured.Opened == 2; }));
+}
+
+// Guards against a server without power that holds up the next one.
+TEST(TcpTest, ServerThatDoesNotAnswerIsLeft) {
+  boost::asio::io_context context;
+  // A full queue of new connections answers nothing.
+  boost::asio::ip::tcp::acceptor full(
+      context, {boost::asio::ip::address_v4::loopback(), 0}, true);
+  full.listen(0);
+  std::vector<boost::asio::ip::tcp::socket> waiting;
+  constexpr int MoreThanTheQueueHolds = 4;
+  for (int i = 0; i < MoreThanTheQueueHolds; ++i) {
+    waiting.emplace_back(context);
+    waiting.back().async_connect(full.local_endpoint(),
+                                 [](const boost::system::error_code &) {});
+  }
+  context.run_for(std::chrono::milliseconds(50));
+  EchoServer working(context);
+  const auto client = connectTcp(
+      context,
+      {{Loopback.Address, full.local_endpoint().port()},
+       working.Tcp->endpoint()},
+      {[](ConnectionId) {}, [](ConnectionId, std::span<const std::byte>) {},
+       [](ConnectionId) {}});
+  EXPECT_TRUE(runUntil(context, [&] { return working.Opened == 1; }));
+}
+
 class BadStreamTest : public testing::TestWithParam<int> {};
 
 Bytes badStream(int row) {
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -111,7 +111,8 @@
                true,
                false},
       AnnounceReply{AnnounceResult::Rejected, UpstreamId{6}, ServiceId{1},
-                    "unknown service", 3}};
+                    "unknown service", 3},
+      ControlInstances{{{0x7F000001, 7701}, {0x7F000002, 7701}}}};
 }
 
 inline std::vector<LogCommand> sampleCommands() {
