Serve metrics on the process's own thread, with latency histograms in mode relay

Cause: mode relay had counters and gauges only, and the deployment set no metrics port, because prometheus-cpp's exposer starts threads and a second HTTP server in each process. On-call engineers had no latencies to look at.

Ruled out: histograms in the decision modules; they report times, and the daemons observe them.

Change: the registry gives its text, serveMetrics() serves it with the HTTP server that every daemon has, and the exposer is gone. Histograms: placement and search at the balancer, first packet and answer at the agent.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -25,8 +25,11 @@
 
 absl::Status AgentDaemon::start() {
   if (Settings.Metrics.Port != 0) {
-    if (absl::Status exposed = Metrics->expose(Settings.Metrics); !exposed.ok())
-      return exposed;
+    auto served = serveMetrics(Context, Settings.Metrics,
+                               [this] { return Metrics->text(); });
+    if (!served.ok())
+      return served.status();
+    MetricsServer = *std::move(served);
   }
   auto udp = openUdp(Context, Settings.Listen,
                      [this](std::span<const std::byte> buf,
@@ -195,6 +198,8 @@
   AnnounceTimer->stop();
   StepTimer->stop();
   Control->stop();
+  if (MetricsServer)
+    MetricsServer->stop();
   Udp->stop();
   Context.stop();
 }
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -41,6 +41,7 @@
   AgentSettings Settings;
   Incarnation Run;
   std::unique_ptr<MetricsRegistry> Metrics;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<AgentMetrics> Published;
   std::unique_ptr<FlowPlacement> Placement;
   std::unique_ptr<RequestRunner> Requests;
--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -30,7 +30,13 @@
                            "Datagrams that could not be decoded")),
         Flows(registry.gauge("pistachio_agent_flows", "Flows held")),
         Busy(registry.gauge("pistachio_agent_busy_flows",
-                            "Flows with a request in progress")) {}
+                            "Flows with a request in progress")),
+        Open(registry.histogram("pistachio_agent_open_seconds",
+                                "From a first packet to the upstream's answer, "
+                                "seconds")),
+        Answer(registry.histogram("pistachio_agent_answer_seconds",
+                                  "From the data of a request to the first "
+                                  "data of its answer, seconds")) {}
 
   Gauge &Delivered;
   Gauge &Answered;
@@ -39,6 +45,8 @@
   Gauge &Bad;
   Gauge &Flows;
   Gauge &Busy;
+  Histogram &Open;
+  Histogram &Answer;
 };
 
 RelayAgent::RelayAgent(boost::asio::io_context &context, AgentSettings settings)
@@ -58,10 +66,13 @@
 RelayAgent::~RelayAgent() = default;
 
 absl::Status RelayAgent::start() {
-  if (Settings.Metrics.Port != 0)
-    if (absl::Status exposed = Registry->expose(Settings.Metrics);
-        !exposed.ok())
-      return exposed;
+  if (Settings.Metrics.Port != 0) {
+    auto served = serveMetrics(Context, Settings.Metrics,
+                               [this] { return Registry->text(); });
+    if (!served.ok())
+      return served.status();
+    MetricsServer = *std::move(served);
+  }
   auto inner =
       openUdp(Context, Settings.Listen,
               [this](std::span<const std::byte> buf, const Endpoint &from) {
@@ -164,6 +175,10 @@
 }
 
 void RelayAgent::carryOut(const GateOutput &output) {
+  for (const GateOutput::Timing &it : output.Timings) {
+    const bool isOpen = it.Measured == GateOutput::Timing::Kind::Open;
+    (isOpen ? Measured->Open : Measured->Answer).observe(toSeconds(it.Time));
+  }
   for (const GateOutput::Datagram &it : output.Datagrams) {
     if (const auto *packet = std::get_if<Bytes>(&it.Content)) {
       Outbound->send(*packet, it.To);
@@ -261,6 +276,8 @@
   StepTimer->stop();
   Control->stop();
   Reports->stop();
+  if (MetricsServer)
+    MetricsServer->stop();
   Inner->stop();
   Outbound->stop();
   Context.stop();
--- a/Source/Agent/RelayAgent.h
+++ b/Source/Agent/RelayAgent.h
@@ -50,6 +50,7 @@
   std::unique_ptr<UdpEndpoint> Inner;
   std::unique_ptr<UdpEndpoint> Outbound;
   std::unique_ptr<HttpServer> Reports;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<AnnouncementLink> Control;
   std::unique_ptr<PeriodicTimer> StepTimer;
   GateState LastState = GateState::Waiting;
--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -41,9 +41,11 @@
 
 absl::Status BalancerDaemon::start() {
   if (Settings.Metrics.Port != 0) {
-    if (absl::Status exposed = Registry->expose(Settings.Metrics);
-        !exposed.ok())
-      return exposed;
+    auto served = serveMetrics(Context, Settings.Metrics,
+                               [this] { return Registry->text(); });
+    if (!served.ok())
+      return served.status();
+    MetricsServer = *std::move(served);
   }
   if (absl::Status started = startWorkers(); !started.ok())
     return started;
@@ -158,6 +160,8 @@
 void BalancerDaemon::finish() {
   StepTimer->stop();
   Control->stop();
+  if (MetricsServer)
+    MetricsServer->stop();
   for (const auto &it : Workers)
     it->stop();
   Context.stop();
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -41,6 +41,7 @@
   std::vector<std::unique_ptr<PacketWorker>> Workers;
   std::unique_ptr<ControlLink> Control;
   std::unique_ptr<TcpServer> Health;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<PeriodicTimer> StepTimer;
   LeaseMode LastMode = LeaseMode::Starting;
   TimePoint LastRenewal{};
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -35,7 +35,13 @@
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
         Upstreams(registry.gauge("pistachio_balancer_upstreams",
-                                 "Upstreams in the table")) {
+                                 "Upstreams in the table")),
+        PlacementTime(registry.histogram(
+            "pistachio_balancer_placement_seconds",
+            "From a first packet to the upstream that took it, seconds")),
+        SearchTime(registry.histogram(
+            "pistachio_balancer_search_seconds",
+            "From a packet of an unknown flow to its holder, seconds")) {
     for (std::size_t i = 0; i < Decisions.size(); ++i)
       Decisions[i] = &registry.counter(
           "pistachio_balancer_decisions_total", "Packets by decision",
@@ -48,6 +54,8 @@
   Gauge &Flows;
   Gauge &Revision;
   Gauge &Upstreams;
+  Histogram &PlacementTime;
+  Histogram &SearchTime;
   std::array<Counter *, static_cast<std::size_t>(RelayReason::Max) + 1>
       Decisions{};
 };
@@ -65,10 +73,13 @@
 RelayBalancer::~RelayBalancer() = default;
 
 absl::Status RelayBalancer::start() {
-  if (Settings.Metrics.Port != 0)
-    if (absl::Status exposed = Registry->expose(Settings.Metrics);
-        !exposed.ok())
-      return exposed;
+  if (Settings.Metrics.Port != 0) {
+    auto served = serveMetrics(Context, Settings.Metrics,
+                               [this] { return Registry->text(); });
+    if (!served.ok())
+      return served.status();
+    MetricsServer = *std::move(served);
+  }
   auto outer =
       openUdp(Context, Settings.Listen,
               [this](std::span<const std::byte> buf, const Endpoint &) {
@@ -157,7 +168,9 @@
     return onReturned(std::move(*returned), from);
   if (const auto *held = std::get_if<FlowHeld>(&*message)) {
     Measured->Held.add();
-    Router->onHeld(*held, from, steadyNow());
+    if (const auto found = Router->onHeld(*held, from, steadyNow()))
+      (found->BySearch ? Measured->SearchTime : Measured->PlacementTime)
+          .observe(toSeconds(found->Time));
     return;
   }
   Measured->BadPackets.add();
@@ -260,6 +273,8 @@
   StepTimer->stop();
   Control->stop();
   Ready->stop();
+  if (MetricsServer)
+    MetricsServer->stop();
   Outer->stop();
   Inner->stop();
   logEvent(LogLevel::Info, "balancer_stopped", "");
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -48,6 +48,7 @@
   std::unique_ptr<UdpEndpoint> Outer;
   std::unique_ptr<UdpEndpoint> Inner;
   std::unique_ptr<HttpServer> Ready;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<ControlLink> Control;
   std::unique_ptr<PeriodicTimer> StepTimer;
   /// Runs only while packets are held.
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -148,7 +148,12 @@
   }
   if (Settings.Metrics.Port == 0 && Settings.OperatorApi.Port != 0)
     return absl::OkStatus();
-  return Measured->Registry->expose(Settings.Metrics);
+  auto served = serveMetrics(Context, Settings.Metrics,
+                             [this] { return Measured->Registry->text(); });
+  if (!served.ok())
+    return served.status();
+  MetricsServer = *std::move(served);
+  return absl::OkStatus();
 }
 
 ReplicatedControl::Hooks ControlDaemon::hooks() {
@@ -346,6 +351,8 @@
     Operator->stop();
   if (Admin)
     Admin->stop();
+  if (MetricsServer)
+    MetricsServer->stop();
   Nodes->stop();
   Links->stop();
   logEvent(LogLevel::Info, "control_stopped", "control instance stopped");
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -72,6 +72,7 @@
   std::unique_ptr<ControlBackend> Backend;
   std::unique_ptr<AdminServer> Admin;
   std::unique_ptr<HttpServer> Operator;
+  std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<Metrics> Measured;
   std::unique_ptr<PeriodicTimer> Timer;
   std::optional<TimePoint> StopBy;
--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -10,4 +10,9 @@
 /// read a clock.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// For metrics, whose unit is the second.
+inline double toSeconds(Duration it) {
+  return std::chrono::duration<double>(it).count();
+}
+
 } // namespace pistachio
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -60,6 +60,8 @@
   std::uint8_t Attempt = 0;
   TimePoint AskedAt{};
   TimePoint SeenAt{};
+  /// First packet of the placement or search that is not confirmed yet.
+  std::optional<TimePoint> BeganAt;
   /// The first packet has waited for an upstream since then.
   std::optional<TimePoint> HeldSince;
 };
@@ -80,8 +82,9 @@
   RelayDecision onReturned(const FlowPacket &packet,
                            const ReturnedPacket &message, const Endpoint &agent,
                            const ServiceTable &table, TimePoint now) override;
-  void onHeld(const FlowHeld &message, const Endpoint &agent,
-              TimePoint now) override;
+  std::optional<HolderFound> onHeld(const FlowHeld &message,
+                                    const Endpoint &agent,
+                                    TimePoint now) override;
   void tick(TimePoint now) override;
   std::size_t flowCount() const override { return Flows.size(); }
 
@@ -206,6 +209,8 @@
                                    const ServiceTable &table, TimePoint now) {
   FlowEntry &entry = entryOf(flow, now);
   entry.SeenAt = now;
+  if (!entry.Confirmed && !entry.BeganAt)
+    entry.BeganAt = now;
   if (entry.Current.Agent.Port != 0) {
     if (entry.Confirmed || now - entry.AskedAt < Options.AnswerTimeout)
       return forward(entry, RelayReason::Held);
@@ -356,6 +361,7 @@
                                      const ServiceTable &table, TimePoint now) {
   if (!entry.Searching) {
     entry.Searching = true;
+    entry.BeganAt = now;
     entry.Skipped = false;
     entry.Asked.clear();
     entry.Current = {};
@@ -420,21 +426,27 @@
   return decision;
 }
 
-void FlowRouterImpl::onHeld(const FlowHeld &message, const Endpoint &agent,
-                            TimePoint now) {
+std::optional<HolderFound> FlowRouterImpl::onHeld(const FlowHeld &message,
+                                                  const Endpoint &agent,
+                                                  TimePoint now) {
   noteAnswer(agent, message.Load);
   FlowEntry &entry = entryOf({message.Caller, message.Service}, now);
   const Holder holder{agent, message.FirstSequence};
   if (entry.Confirmed && entry.Current.Agent != agent) {
     entry.Other = holder;
-    return;
+    return std::nullopt;
   }
+  std::optional<HolderFound> found;
+  if (entry.BeganAt)
+    found = {entry.Searching, now - *entry.BeganAt};
+  entry.BeganAt.reset();
   entry.Current = holder;
   entry.HeldSince.reset();
   entry.Confirmed = true;
   entry.Searching = false;
   entry.Asked.clear();
   entry.Attempt = 0;
+  return found;
 }
 
 void FlowRouterImpl::tick(TimePoint now) {
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -147,6 +147,13 @@
   std::map<FlowEnds, Packet> Packets;
 };
 
+/// The holder of a flow has become known.
+struct HolderFound {
+  /// By a search; otherwise the flow was placed.
+  bool BySearch = false;
+  Duration Time{0};
+};
+
 /// Finds the agent for each packet of a caller. Knows the holder of the flows
 /// that it placed or found; asks the agents of the route in a fixed order
 /// otherwise.
@@ -161,8 +168,9 @@
                                    const Endpoint &agent,
                                    const ServiceTable &table,
                                    TimePoint now) = 0;
-  virtual void onHeld(const FlowHeld &message, const Endpoint &agent,
-                      TimePoint now) = 0;
+  /// How long it took to place or find the flow, if that was not known before.
+  virtual std::optional<HolderFound>
+  onHeld(const FlowHeld &message, const Endpoint &agent, TimePoint now) = 0;
   virtual void tick(TimePoint now) = 0;
   virtual std::size_t flowCount() const = 0;
 };
@@ -226,7 +234,19 @@
     Endpoint To;
     std::variant<Bytes, DataMessage> Content;
   };
+  /// How long the upstream took.
+  struct Timing {
+    enum class Kind : std::uint8_t {
+      /// From a first packet to its answer.
+      Open,
+      /// From the data of a request to the first data of its answer.
+      Answer
+    };
+    Kind Measured = Kind::Open;
+    Duration Time{0};
+  };
   std::vector<Datagram> Datagrams;
+  std::vector<Timing> Timings;
 };
 
 /// Counts since the start.
--- a/Source/Core/Relay/UpstreamGate.cpp
+++ b/Source/Core/Relay/UpstreamGate.cpp
@@ -400,11 +400,18 @@
 void UpstreamGateImpl::noteAnswer(Flow &flow, const FlowEnds &ends,
                                   const FlowPacket &packet, TimePoint now,
                                   GateOutput &out) {
+  using Kind = GateOutput::Timing::Kind;
   flow.SeenAt = now;
-  if (packet.Opens)
+  if (packet.Opens) {
     flow.FirstSequence = packet.Sequence;
-  if (packet.DataBytes > 0)
+    if (!flow.Held && flow.Busy)
+      out.Timings.push_back({Kind::Open, now - flow.BusySince});
+  }
+  if (packet.DataBytes > 0) {
+    if (flow.Busy && flow.HasData)
+      out.Timings.push_back({Kind::Answer, now - flow.BusySince});
     setBusy(flow, false, now);
+  }
   flow.UpstreamEnded = flow.UpstreamEnded || packet.Ends;
   if (!flow.Held) {
     flow.Held = true;
--- a/Source/Core/Runtime/HttpServer.cpp
+++ b/Source/Core/Runtime/HttpServer.cpp
@@ -200,4 +200,19 @@
   return std::make_unique<BeastHttpServer>(std::move(state));
 }
 
+absl::StatusOr<std::unique_ptr<HttpServer>>
+serveMetrics(boost::asio::io_context &context, const Endpoint &local,
+             std::function<std::string()> text) {
+  return listenHttp(
+      context, local,
+      [text = std::move(text)](const HttpCall &call,
+                               const std::function<void(HttpReply)> &reply) {
+        if (call.Target != "/metrics")
+          return reply({404, "{\"error\":\"only /metrics is served\"}"});
+        if (call.Method != "GET")
+          return reply({405, "{\"error\":\"only GET is served\"}"});
+        reply({200, text(), "text/plain; version=0.0.4"});
+      });
+}
+
 } // namespace pistachio
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -165,6 +165,11 @@
 listenHttp(boost::asio::io_context &context, const Endpoint &local,
            HttpHandler handler);
 
+/// Serves \p text at GET /metrics, on the thread of the context.
+absl::StatusOr<std::unique_ptr<HttpServer>>
+serveMetrics(boost::asio::io_context &context, const Endpoint &local,
+             std::function<std::string()> text);
+
 /// Runs \p changed when the file was replaced or written, or the process got
 /// SIGHUP. The file is looked at every few seconds.
 class FileWatch {
--- a/Source/Core/Telemetry/Metrics.cpp
+++ b/Source/Core/Telemetry/Metrics.cpp
@@ -1,14 +1,11 @@
 #include "Telemetry/Telemetry.h"
 
-#include "absl/strings/str_cat.h"
-
 #include <prometheus/counter.h>
-#include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
-#include <exception>
 #include <map>
 #include <mutex>
 
@@ -84,15 +81,8 @@
     return Histograms.try_emplace(&metric, metric).first->second;
   }
 
-  absl::Status expose(const Endpoint &listen) override {
-    try {
-      Server = std::make_unique<prometheus::Exposer>(toString(listen), 1);
-      Server->RegisterCollectable(Registry);
-    } catch (const std::exception &e) {
-      return absl::UnavailableError(absl::StrCat(
-          "cannot serve metrics at ", toString(listen), ": ", e.what()));
-    }
-    return absl::OkStatus();
+  std::string text() const override {
+    return prometheus::TextSerializer().Serialize(Registry->Collect());
   }
 
 private:
@@ -107,7 +97,6 @@
   std::map<prometheus::Counter *, PrometheusCounter> Counters;
   std::map<prometheus::Gauge *, PrometheusGauge> Gauges;
   std::map<prometheus::Histogram *, PrometheusHistogram> Histograms;
-  std::unique_ptr<prometheus::Exposer> Server;
 };
 
 } // namespace
--- a/Source/Core/Telemetry/Telemetry.h
+++ b/Source/Core/Telemetry/Telemetry.h
@@ -105,8 +105,8 @@
                        std::initializer_list<Label> labels = {}) = 0;
   virtual Histogram &histogram(const std::string &name, const std::string &help,
                                std::initializer_list<Label> labels = {}) = 0;
-  /// Serves GET /metrics in the text format of Prometheus.
-  virtual absl::Status expose(const Endpoint &listen) = 0;
+  /// The present values in the text format of Prometheus.
+  virtual std::string text() const = 0;
 };
 
 std::unique_ptr<MetricsRegistry> makeMetricsRegistry();
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -24,10 +24,11 @@
     message.Load = load;
     return Router->onReturned(packet, message, from.Agent, *Table, Now);
   }
-  void hold(std::uint16_t caller, const Endpoint &agent,
-            std::uint32_t sequence = 500, UpstreamLoad load = {}) {
-    Router->onHeld({callerOf(caller), RouteAddress, sequence, load}, agent,
-                   Now);
+  std::optional<HolderFound> hold(std::uint16_t caller, const Endpoint &agent,
+                                  std::uint32_t sequence = 500,
+                                  UpstreamLoad load = {}) {
+    return Router->onHeld({callerOf(caller), RouteAddress, sequence, load},
+                          agent, Now);
   }
 
   TestTable Table{6};
@@ -50,6 +51,30 @@
   }
 }
 
+// Guards against latency histograms of placements and searches that miss the
+// time before an answer, or count known flows.
+TEST_F(FlowRouterTest, ReportsHowLongAHolderTook) {
+  const RelayDecision placed = send(firstPacket(1));
+  Now += Duration(7);
+  send(firstPacket(1));
+  Now += Duration(1);
+  const auto placement = hold(1, placed.Agent);
+  ASSERT_TRUE(placement);
+  EXPECT_FALSE(placement->BySearch);
+  EXPECT_EQ(placement->Time, Duration(8));
+  EXPECT_FALSE(hold(1, placed.Agent));
+
+  const RelayDecision asked = send(dataPacket(2));
+  Now += Duration(4);
+  const RelayDecision next =
+      giveBack(dataPacket(2), asked, ReturnReason::NotHeld);
+  Now += Duration(5);
+  const auto search = hold(2, next.Agent);
+  ASSERT_TRUE(search);
+  EXPECT_TRUE(search->BySearch);
+  EXPECT_EQ(search->Time, Duration(9));
+}
+
 // Guards against a search that asks one candidate twice and another never when
 // the order of the candidates changes meanwhile; the flow was then reset
 // although its upstream held it.
--- a/Source/UnitTests/Relay/UpstreamGateTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamGateTest.cpp
@@ -108,6 +108,30 @@
   std::unique_ptr<UpstreamGate> Gate;
 };
 
+// Guards against a latency histogram that counts what is no answer, or counts
+// an answer twice.
+TEST_F(UpstreamGateTest, ReportsHowLongTheUpstreamTook) {
+  using Kind = GateOutput::Timing::Kind;
+  report(makeReport());
+  relay(firstPacket(1));
+  Now += Duration(3);
+  const GateOutput opened = answer(fromUpstream(1, true, 500));
+  ASSERT_EQ(opened.Timings.size(), 1U);
+  EXPECT_EQ(opened.Timings[0].Measured, Kind::Open);
+  EXPECT_EQ(opened.Timings[0].Time, Duration(3));
+  EXPECT_TRUE(answer(fromUpstream(1, true, 500)).Timings.empty());
+  FlowPacket request = dataPacket(1, 501);
+  request.DataBytes = 20;
+  EXPECT_TRUE(relay(request).Timings.empty());
+  Now += Duration(40);
+  EXPECT_TRUE(answer(fromUpstream(1, false, 501)).Timings.empty());
+  const GateOutput answered = answer(fromUpstream(1, false, 501, 10));
+  ASSERT_EQ(answered.Timings.size(), 1U);
+  EXPECT_EQ(answered.Timings[0].Measured, Kind::Answer);
+  EXPECT_EQ(answered.Timings[0].Time, Duration(40));
+  EXPECT_TRUE(answer(fromUpstream(1, false, 511, 10)).Timings.empty());
+}
+
 // Guards against a flow that does not reach its upstream, an answer that does
 // not reach its caller, and a balancer that is not told.
 TEST_F(UpstreamGateTest, CarriesAFlow) {
--- a/Source/UnitTests/Runtime/HttpServerTest.cpp
+++ b/Source/UnitTests/Runtime/HttpServerTest.cpp
@@ -25,6 +25,23 @@
   std::string Expected;
 };
 
+/// What a server answers to the bytes of a request, until it closes.
+std::string answerTo(boost::asio::io_context &context, const Endpoint &server,
+                     const std::string &request) {
+  tcp::socket socket(context);
+  socket.connect(
+      {boost::asio::ip::make_address_v4(server.Address), server.Port});
+  boost::asio::write(socket, boost::asio::buffer(request));
+  socket.shutdown(tcp::socket::shutdown_send);
+  std::string answer;
+  bool ended = false;
+  boost::asio::async_read(
+      socket, boost::asio::dynamic_buffer(answer),
+      [&](boost::system::error_code, std::size_t) { ended = true; });
+  EXPECT_TRUE(runUntil(context, [&] { return ended; }));
+  return answer;
+}
+
 class HttpServerTest : public testing::TestWithParam<HttpCase> {};
 
 TEST_P(HttpServerTest, Answers) {
@@ -36,17 +53,8 @@
         reply({202, call.Method + " " + call.Target + " " + call.Body});
       });
   ASSERT_TRUE(server.ok()) << server.status();
-  tcp::socket socket(context);
-  socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"),
-                  (*server)->endpoint().Port});
-  boost::asio::write(socket, boost::asio::buffer(it.Request));
-  socket.shutdown(tcp::socket::shutdown_send);
-  std::string answer;
-  bool ended = false;
-  boost::asio::async_read(
-      socket, boost::asio::dynamic_buffer(answer),
-      [&](boost::system::error_code, std::size_t) { ended = true; });
-  ASSERT_TRUE(runUntil(context, [&] { return ended; }));
+  const std::string answer =
+      answerTo(context, (*server)->endpoint(), it.Request);
   EXPECT_EQ(answer.substr(0, it.Expected.size()), it.Expected) << it.Guards;
   if (it.Expected.find("202") != std::string::npos) {
     EXPECT_TRUE(answer.ends_with("PUT /a body")) << answer;
@@ -69,6 +77,42 @@
                  "PUT /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nbod", ""}),
     [](const auto &it) { return std::string(it.param.Name); });
 
+struct MetricsCase {
+  const char *Name;
+  const char *Request;
+  const char *Status;
+  bool HasText;
+};
+
+class MetricsServerTest : public testing::TestWithParam<MetricsCase> {};
+
+// Guards against dashboards that get no metrics, or metrics as the answer to
+// something else.
+TEST_P(MetricsServerTest, Answers) {
+  const MetricsCase &it = GetParam();
+  boost::asio::io_context context(1);
+  const auto server = serveMetrics(context, {0x7F000001, 0},
+                                   [] { return std::string("flows 7\n"); });
+  ASSERT_TRUE(server.ok()) << server.status();
+  const std::string answer =
+      answerTo(context, (*server)->endpoint(), it.Request);
+  EXPECT_TRUE(answer.starts_with(it.Status)) << answer;
+  EXPECT_EQ(answer.ends_with("\r\n\r\nflows 7\n"), it.HasText) << answer;
+  EXPECT_EQ(answer.find("text/plain; version=0.0.4") != std::string::npos,
+            it.HasText);
+  (*server)->stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, MetricsServerTest,
+    testing::Values(MetricsCase{"Read", "GET /metrics HTTP/1.1\r\n\r\n",
+                                "HTTP/1.1 200", true},
+                    MetricsCase{"OtherPath", "GET /secrets HTTP/1.1\r\n\r\n",
+                                "HTTP/1.1 404", false},
+                    MetricsCase{"OtherMethod", "POST /metrics HTTP/1.1\r\n\r\n",
+                                "HTTP/1.1 405", false}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
 // Guards against settings that change without a signal and are never read.
 TEST(FileWatchTest, NoticesAReplacedFile) {
   const std::string path =
