Go on without a metrics port that is in use, in deployments found by seeds

Cause: reading the change. The deploy file names fixed metrics ports; on a deployment where one is taken, the process would not start at all.

Ruled out: leaving the port out, which leaves on-call without latencies; ports of the inner range, which the platform does not fetch from.

Change: balancers and agents in mode relay, and control instances with an operator's API, log metrics_not_served and go on. The other modes still refuse to start. A comment on the note of committed entries says what a failure means.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -76,9 +76,12 @@
   if (Settings.Metrics.Port != 0) {
     auto served = serveMetrics(Context, Settings.Metrics,
                                [this] { return Registry->text(); });
-    if (!served.ok())
-      return served.status();
-    MetricsServer = *std::move(served);
+    // Flows go before dashboards: a port in use must not keep them from here.
+    if (served.ok())
+      MetricsServer = *std::move(served);
+    else
+      logEvent(LogLevel::Error, "metrics_not_served",
+               messageOf(served.status()));
   }
   auto outer =
       openUdp(Context, Settings.Listen,
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -150,9 +150,12 @@
     return absl::OkStatus();
   auto served = serveMetrics(Context, Settings.Metrics,
                              [this] { return Measured->Registry->text(); });
-  if (!served.ok())
+  if (served.ok())
+    MetricsServer = *std::move(served);
+  else if (Settings.OperatorApi.Port == 0)
     return served.status();
-  MetricsServer = *std::move(served);
+  else // Orders and the table of nodes go before dashboards.
+    logEvent(LogLevel::Error, "metrics_not_served", messageOf(served.status()));
   return absl::OkStatus();
 }
 
--- a/Source/Core/Consensus/Node.cpp
+++ b/Source/Core/Consensus/Node.cpp
@@ -209,9 +209,9 @@
     return;
   NotedAt = now;
   NotedCommit = CommitIndex;
-  // Without the note the next start only waits for an election, so a full disk
-  // is no reason to stop. After any other failure the state of the disk is not
-  // known.
+  // Without the note the next start only waits for an election, so a note that
+  // cannot be written is no reason to stop. After a failed sync the state of
+  // the disk is not known.
   if (Storage.noteCommitted(CommitIndex).ok())
     check(Storage.sync());
 }
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -361,6 +361,16 @@
   EXPECT_TRUE(node.waitFor([&] { return node.isLeased(); }));
 }
 
+// Guards against a metrics port that is in use and keeps a control instance of
+// a deployment, with its operator's API and its nodes, from starting.
+TEST_F(SeededGroupTest, StartsWithoutItsMetricsPort) {
+  makeSeeded(1, 0);
+  ControlSettings &settings = Instances[0]->Settings;
+  settings.Metrics = settings.Nodes;
+  ASSERT_TRUE(Instances[0]->start(false).ok());
+  waitForGroup(1, 1);
+}
+
 // Guards against a lost disk that leaves the group one member short.
 TEST_F(SeededGroupTest, MemberWithAnEmptyDiskIsReplaced) {
   makeSeeded(3, 0);
