--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -74,9 +74,6 @@
   healings=(${rest[@]+"${rest[@]}"})
 }
 
-end_process() { # end_process SIGNAL NAME
-  stop "$1" "$2"
-}
 resume() { kill -CONT "${pids[$1]}" 2> /dev/null || true; }
 open_link() { echo open > "$work/$1.fault"; }
 
@@ -88,6 +85,8 @@
     --credential-file Examples/valukoda/operators.credential > "$work/apply.log" 2>&1; then
     mv "$work/next.txt" "$work/rules.txt"
     accepted=$((accepted + 1))
+    # The whole file is in force now, whatever became of earlier changes.
+    unsettled=""
     say "rules with limit $limit are accepted"
   else
     say "rules with limit $limit are not confirmed"
@@ -96,7 +95,7 @@
   fi
 }
 
-read_limit() { # of the rules that a control instance holds
+show_difference() { # between the rules in force and the last accepted ones
   timeout 8 "$bin/Ctl/pistachioctl" diff "$work/rules.txt" ${admin[valukoda]} \
     --credential-file Examples/valukoda/operators.credential 2> /dev/null
 }
@@ -125,13 +124,13 @@
   fi
   case $kind in
     0 | 1)
-      if [ $((RANDOM % 2)) -eq 0 ]; then say "killing $name"; end_process KILL "$name"
-      else say "stopping $name"; end_process TERM "$name"; fi
+      if [ $((RANDOM % 2)) -eq 0 ]; then say "killing $name"; stop KILL "$name"
+      else say "stopping $name"; stop TERM "$name"; fi
       heal_later "$name" respawn "$name" ;;
-    2) say "killing $name"; end_process KILL "$name"; heal_later "$name" respawn "$name" ;;
-    3) say "killing $name and tearing its log"; end_process KILL "$name"; tear_log "$name"
+    2) say "killing $name"; stop KILL "$name"; heal_later "$name" respawn "$name" ;;
+    3) say "killing $name and tearing its log"; stop KILL "$name"; tear_log "$name"
        heal_later "$name" respawn "$name" ;;
-    4) say "stopping $name"; end_process TERM "$name"; heal_later "$name" respawn "$name" ;;
+    4) say "stopping $name"; stop TERM "$name"; heal_later "$name" respawn "$name" ;;
     5 | 6) say "pausing $name"; kill -STOP "${pids[$name]}"; heal_later "$name" resume "$name" ;;
     7 | 8)
       local -a faults=(silent deaf mute reset "delay 200")
@@ -167,7 +166,7 @@
   inject
   sleep "0.$((2 + RANDOM % 8))"
   # An accepted change may be older than one whose outcome is unknown, but nothing else may differ.
-  if [ -z "$unsettled" ] && difference=$(read_limit) && grep -q '^[-+]' <<< "$difference"; then
+  if [ -z "$unsettled" ] && difference=$(show_difference) && grep -q '^[-+]' <<< "$difference"; then
     fail "accepted rules are not in force: $difference"
   fi
 done
@@ -183,7 +182,7 @@
 unsettled=""
 until_true "$recovery_seconds" "a change after the faults" change_rules > /dev/null || true
 [ -z "$unsettled" ] || fail "no change is accepted after the faults"
-difference=$(read_limit) || fail "the rules cannot be read"
+difference=$(show_difference) || fail "the rules cannot be read"
 ! grep -q '^[-+]' <<< "$difference" || fail "the last accepted rules are not in force: $difference"
 load_seconds=3
 call valukoda workshop-api 10.20.0.1:443 panel 4 200
@@ -192,7 +191,7 @@
 unset "pids[$after]"
 grep -q '"result":"answered"' "$work/$after.ledger" || fail "new callers are not served after the faults"
 
-# Each process ends when it is asked to; what has to be killed is a finding.
+# Agents first, as they tell control that their upstreams leave.
 agents=() others=()
 for name in "${!pids[@]}"; do
   case $name in *-agent) agents+=("$name") ;; *) others+=("$name") ;; esac
