--- a/Source/UnitTests/Control/ControlStateHarness.h
+++ b/Source/UnitTests/Control/ControlStateHarness.h
@@ -52,9 +52,10 @@
     State->apply(Log.size(), command);
     return Log.size();
   }
+  /// The test fails with an exception if no result is stored.
   ApplyResult apply(const ApplyRules &command) {
     commit(command);
-    return State->findResult(command.OperationId).value_or(ApplyResult{});
+    return State->findResult(command.OperationId).value();
   }
   /// Replaces the rules, with the current revision as the expected one.
   ApplyResult apply(const std::string &rules) {
--- a/Source/UnitTests/Control/RoutingTest.cpp
+++ b/Source/UnitTests/Control/RoutingTest.cpp
@@ -33,10 +33,11 @@
     Harness.apply("datacentre x # asked by Maarja\n"
                   "datacentre y # asked by Maarja\n");
   }
-  /// Commits the command and returns the stored outcome of operation \p id.
+  /// Commits the command and returns the stored outcome of operation \p id. The
+  /// test fails with an exception if there is none.
   Code commitOperation(const LogCommand &command, const std::string &id) {
     Harness.commit(command);
-    return Harness.State->findResult(id).value_or(ApplyResult{}).Outcome;
+    return Harness.State->findResult(id).value().Outcome;
   }
   bool isOutOfService(const std::string &name) const {
     return Harness.State->findDataCentre(name)->IsTakenOut;
