Refuse names in settings that messages cannot carry

A node with a longer name started, could not encode its subscription and never became known. Ruled out: a longer limit in messages; nodes of the present release would refuse these. Change: settings refuse such names with their place. A test holds the limit against the messages.

--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t MaxFileBytes = 1024 * 1024;
 constexpr std::size_t MinSecretBytes = 16;
 constexpr std::size_t MaxSecretBytes = 256;
-constexpr std::size_t MaxHostNameBytes = 253;
+/// Messages between the processes carry names of at most this size.
+constexpr std::size_t MaxHostNameBytes = 64;
 constexpr std::size_t MaxControlEndpoints = 64;
 /// A group has three or five members. Replacement members are listed in
 /// addition to them.
@@ -53,7 +54,7 @@
                 " printable ASCII characters without spaces");
 }
 
-/// Returns whether \p text consists of 1 to 253 letters, digits and the
+/// Returns whether \p text consists of 1 to 64 letters, digits and the
 /// characters '-', '.' and '_', as host names do.
 bool isHostName(std::string_view text) {
   return !text.empty() && text.size() <= MaxHostNameBytes &&
@@ -99,7 +100,7 @@
     std::string text = string(key);
     if (!text.empty() && !isHostName(text))
       fail(key, concat("'", text,
-                       "' is not a host name; use at most 253 letters, digits, "
+                       "' is not a host name; use at most 64 letters, digits, "
                        "'-', '.' and '_'"));
     return text;
   }
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -194,6 +194,11 @@
      "1:8: name: the string must not be empty"},
     {"BadHostName", Balancer, "b1", "b 1",
      "1:8: name: 'b 1' is not a host name"},
+    {"HostNameTooLongForMessages", Balancer, "b1",
+     "b2345678901234567890123456789012345678901234567890123456789012345",
+     "1:8: name: "
+     "'b2345678901234567890123456789012345678901234567890123456789012345' is "
+     "not a host name; use at most 64"},
     {"BadName", Balancer, "dc-a", "DC", "2:15: data_centre: 'DC' is not"},
     {"BadEndpoint", Balancer, "127.0.0.1:5000", "localhost:5000",
      "3:10: listen: 'localhost:5000' is not an IPv4 endpoint"},
--- a/Source/UnitTests/Wire/RoundTripTest.cpp
+++ b/Source/UnitTests/Wire/RoundTripTest.cpp
@@ -39,6 +39,16 @@
   EXPECT_LE(buf.size(), MaxDatagramBytes);
 }
 
+// Guards against a name that settings accept and messages do not carry: the
+// process would start and then never be known to control.
+TEST(RoundTripTest, LongestNameOfSettingsFitsMessages) {
+  const std::string name(64, 'b');
+  Bytes buf;
+  EXPECT_TRUE(encodeNode(Subscribe{name, "x", {}, {}}, buf).ok());
+  EXPECT_TRUE(encodeNode(LeaseRequest{name, {}}, buf).ok());
+  EXPECT_TRUE(encodeData(PeerLeaseQuery{name, 1, {}}, buf).ok());
+}
+
 // Guards against an encoder that truncates a field that is too long instead of
 // reporting an error.
 TEST(RoundTripTest, OversizedFieldIsRejectedByEncoder) {
