--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -65,6 +65,7 @@
   options.ColdOvershoot = Settings.ColdOvershoot;
   options.ColdSlack = Settings.ColdSlack;
   options.ReportTimeout = Duration(Settings.ReportMs) * MaxMissedReports;
+  options.StartedAtMs = wallClockMs();
   Gate = makeUpstreamRelay(std::move(options), *Format);
 }
 
@@ -170,6 +171,12 @@
 void RelayAgent::onBalancerDatagram(std::span<const std::byte> buf,
                                     const Endpoint &from) {
   auto message = decodeData(buf);
+  RelayOutput output;
+  if (message.ok())
+    if (const auto *query = std::get_if<FlowQuery>(&*message)) {
+      Gate->onFlowQuery(*query, from, steadyNow(), output);
+      return executeOutput(output);
+    }
   auto *relayed =
       message.ok() ? std::get_if<RelayedPacket>(&*message) : nullptr;
   if (relayed == nullptr) {
@@ -179,7 +186,6 @@
              {{"from", toString(from)}});
     return;
   }
-  RelayOutput output;
   Gate->onRelayedPacket(std::move(*relayed), from, steadyNow(), output);
   executeOutput(output);
 }
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -16,6 +16,8 @@
 /// Interval at which deferred packets are routed again. It is shorter than the
 /// work of one request on the deployments.
 constexpr Duration RetryInterval{15};
+/// Interval at which searches are checked for queries that are overdue.
+constexpr Duration SearchPollInterval{20};
 /// Control is reported as lost after this long without a grant, which is twelve
 /// renewals.
 constexpr Duration ControlLostTimeout{3000};
@@ -33,6 +35,8 @@
                               "Agents that reported a flow as theirs")),
         Returned(registry.counter("pistachio_balancer_packets_returned_total",
                                   "Packets that agents gave back")),
+        Queries(registry.counter("pistachio_balancer_queries_total",
+                                 "Queries sent in searches for holders")),
         Flows(registry.gauge("pistachio_balancer_flows", "Flows remembered")),
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
@@ -53,6 +57,7 @@
   Counter &BadPackets;
   Counter &Held;
   Counter &Returned;
+  Counter &Queries;
   Gauge &Flows;
   Gauge &Revision;
   Gauge &Upstreams;
@@ -174,16 +179,28 @@
   }
   if (auto *returned = std::get_if<ReturnedPacket>(&*message))
     return onReturnedPacket(std::move(*returned), from);
-  if (const auto *held = std::get_if<FlowHeld>(&*message)) {
-    Instruments->Held.add();
-    if (const auto found = Router->onFlowHeld(*held, from, steadyNow()))
-      (found->BySearch ? Instruments->SearchTime : Instruments->PlacementTime)
-          .observe(toSeconds(found->Elapsed));
-    return;
+  if (const auto *held = std::get_if<FlowHeld>(&*message))
+    return onFlowHeld(*held, from);
+  if (const auto *notHeld = std::get_if<FlowNotHeld>(&*message)) {
+    const FlowEndpoints flow{notHeld->Caller, notHeld->Service};
+    return applyToKeptPacket(
+        Router->onFlowNotHeld(*notHeld, from, *Control->table(), steadyNow()),
+        flow);
   }
   Instruments->BadPackets.add();
 }
 
+void RelayBalancer::onFlowHeld(const FlowHeld &message, const Endpoint &from) {
+  Instruments->Held.add();
+  const TimePoint now = steadyNow();
+  if (const auto found = Router->onFlowHeld(message, from, now))
+    (found->BySearch ? Instruments->SearchTime : Instruments->PlacementTime)
+        .observe(toSeconds(found->Elapsed));
+  if (const auto kept =
+          KeptForSearch.takeOne({message.Caller, message.Service}, now))
+    onCallerDatagram(kept->Data, kept->Arrived);
+}
+
 void RelayBalancer::onReturnedPacket(ReturnedPacket message,
                                      const Endpoint &from) {
   const std::optional<FlowPacket> packet = Format->decode(message.Packet);
@@ -211,13 +228,16 @@
 
 void RelayBalancer::logDecision(const RelayDecision &decision,
                                 const FlowPacket &packet) {
-  // Packets of flows with a known holder are counted but not logged.
-  if (decision.Reason == RelayReason::Held)
+  // Packets of flows with a known holder, and those that wait for the replies
+  // of a search, are counted but not logged.
+  if (decision.Reason == RelayReason::Held ||
+      (decision.Action == RelayAction::Query && decision.Queries.empty()))
     return;
   const std::string_view event =
       decision.Action == RelayAction::Forward ? "flow_routed"
       : decision.Action == RelayAction::Reset ? "flow_reset"
       : decision.Action == RelayAction::Defer ? "flow_waits"
+      : decision.Action == RelayAction::Query ? "flow_searched"
                                               : "packet_dropped";
   logEvent(
       LogLevel::Info, event, "",
@@ -228,6 +248,7 @@
        {"agent", toString(decision.Agent)},
        {"others", std::to_string(decision.OtherAgents.size())},
        {"attempt", std::to_string(decision.Attempt)},
+       {"queries", std::to_string(decision.Queries.size())},
        {"revision", std::to_string(Control->table()->revision().Value)}});
 }
 
@@ -237,26 +258,35 @@
                                   TimePoint arrived) {
   Instruments->Decisions[static_cast<std::size_t>(decision.Reason)]->add();
   logDecision(decision, packet);
+  const FlowEndpoints flow{packet.Source, packet.Destination};
   if (decision.Action == RelayAction::Reset) {
     const Bytes reset = Format->makeReset(packet);
     CallerSocket->send(reset, {packet.Source.Address, Settings.Listen.Port});
     return;
   }
   if (decision.Action == RelayAction::Defer) {
-    Deferred.add({packet.Source, packet.Destination}, buf, arrived);
+    Deferred.add(flow, buf, arrived);
     if (!RetryTimer)
       RetryTimer =
           startTimer(Context, RetryInterval, [this] { retryDeferred(); });
     return;
   }
-  if (decision.Action == RelayAction::Drop)
-    return;
+  if (decision.Action == RelayAction::Query) {
+    KeptForSearch.add(flow, buf, arrived);
+    return sendQueries(decision, flow);
+  }
+  if (decision.Action == RelayAction::Forward)
+    sendToAgents(decision, buf);
+}
+
+void RelayBalancer::sendToAgents(const RelayDecision &decision,
+                                 std::span<const std::byte> packet) {
   SendBuffer.clear();
   const absl::Status encoded =
       encodeData(RelayedPacket{decision.Service, decision.Attempt,
                                decision.NeedsConfirmation,
                                decision.ColdMilliflowsPerSecond,
-                               Bytes(buf.begin(), buf.end())},
+                               Bytes(packet.begin(), packet.end())},
                  SendBuffer);
   if (!encoded.ok()) {
     logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
@@ -267,6 +297,49 @@
     AgentSocket->send(SendBuffer, it);
 }
 
+void RelayBalancer::sendQueries(const RelayDecision &decision,
+                                const FlowEndpoints &flow) {
+  for (const QueryTarget &it : decision.Queries) {
+    SendBuffer.clear();
+    const absl::Status encoded = encodeData(
+        FlowQuery{flow.Caller, flow.Service, it.Service}, SendBuffer);
+    if (!encoded.ok()) {
+      logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
+      return;
+    }
+    AgentSocket->send(SendBuffer, it.Agent);
+    Instruments->Queries.add();
+  }
+  if (!SearchTimer)
+    SearchTimer =
+        startTimer(Context, SearchPollInterval, [this] { pollSearches(); });
+}
+
+void RelayBalancer::applyToKeptPacket(const RelayDecision &decision,
+                                      const FlowEndpoints &flow) {
+  if (decision.Action == RelayAction::Query)
+    return sendQueries(decision, flow);
+  // A packet that is sent to agents in a search stays, because the search may
+  // go on.
+  const DeferredPackets::Packet *kept = KeptForSearch.find(flow);
+  if (kept == nullptr)
+    return;
+  if (const auto packet = Format->decode(kept->Data))
+    applyDecision(decision, *packet, kept->Data, kept->Arrived);
+  if (decision.Action != RelayAction::Forward)
+    KeptForSearch.takeOne(flow, steadyNow());
+}
+
+void RelayBalancer::pollSearches() {
+  if (!Router->isSearching()) {
+    SearchTimer.reset();
+    return;
+  }
+  for (const FlowDecision &it :
+       Router->pollSearches(*Control->table(), steadyNow()))
+    applyToKeptPacket(it.Decision, it.Flow);
+}
+
 void RelayBalancer::runPeriodicTasks() {
   const TimePoint now = steadyNow();
   if (now - LastRenewal >= RenewalInterval) {
@@ -274,6 +347,7 @@
     Control->renewLease(now);
   }
   Router->tick(now);
+  KeptForSearch.expire(now);
   Instruments->Flows.set(static_cast<double>(Router->flowCount()));
   const bool isControlReachable =
       LastGrantAt != TimePoint{} && now - LastGrantAt < ControlLostTimeout;
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -28,9 +28,17 @@
 
   void onCallerDatagram(std::span<const std::byte> buf, TimePoint arrived);
   void onAgentDatagram(std::span<const std::byte> buf, const Endpoint &from);
+  void onFlowHeld(const FlowHeld &message, const Endpoint &from);
   void onReturnedPacket(ReturnedPacket message, const Endpoint &from);
   void applyDecision(const RelayDecision &decision, const FlowPacket &packet,
                      std::span<const std::byte> buf, TimePoint arrived);
+  void sendToAgents(const RelayDecision &decision,
+                    std::span<const std::byte> packet);
+  void sendQueries(const RelayDecision &decision, const FlowEndpoints &flow);
+  /// Applies a decision of a search to the packet that was kept for it.
+  void applyToKeptPacket(const RelayDecision &decision,
+                         const FlowEndpoints &flow);
+  void pollSearches();
   void retryDeferred();
   void logDecision(const RelayDecision &decision, const FlowPacket &packet);
   bool isReady() const;
@@ -44,6 +52,8 @@
   /// Packets that arrived before the first table or while all upstreams were
   /// busy.
   DeferredPackets Deferred;
+  /// Packets of flows whose holder is searched for.
+  DeferredPackets KeptForSearch;
   std::unique_ptr<MetricsRegistry> Registry;
   std::unique_ptr<Metrics> Instruments;
   std::unique_ptr<UdpSocket> CallerSocket;
@@ -54,6 +64,8 @@
   std::unique_ptr<PeriodicTimer> PeriodicTaskTimer;
   /// Runs only while packets are deferred.
   std::unique_ptr<PeriodicTimer> RetryTimer;
+  /// Runs only while the router searches for holders.
+  std::unique_ptr<PeriodicTimer> SearchTimer;
   std::optional<TimePoint> StopRequestedAt;
   TimePoint LastGrantAt{};
   TimePoint LastRenewal{};
--- a/Source/Core/Relay/DeferredPackets.cpp
+++ b/Source/Core/Relay/DeferredPackets.cpp
@@ -22,6 +22,26 @@
   Packets[flow] = {Bytes(buf.begin(), buf.end()), arrived};
 }
 
+std::optional<DeferredPackets::Packet>
+DeferredPackets::takeOne(const FlowEndpoints &flow, TimePoint now) {
+  auto node = Packets.extract(flow);
+  if (node.empty() || now - node.mapped().Arrived >= MaxDeferredAge)
+    return std::nullopt;
+  return std::move(node.mapped());
+}
+
+const DeferredPackets::Packet *
+DeferredPackets::find(const FlowEndpoints &flow) const {
+  const auto it = Packets.find(flow);
+  return it == Packets.end() ? nullptr : &it->second;
+}
+
+void DeferredPackets::expire(TimePoint now) {
+  std::erase_if(Packets, [&](const auto &it) {
+    return now - it.second.Arrived >= MaxDeferredAge;
+  });
+}
+
 std::vector<DeferredPackets::Packet> DeferredPackets::take(TimePoint now) {
   std::vector<Packet> all;
   for (auto &[flow, it] : std::exchange(Packets, {}))
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -1,3 +1,6 @@
+#include "HolderSearch.h"
+#include "RankedMembers.h"
+
 #include "Relay/Relay.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -8,7 +11,8 @@
 namespace pistachio {
 namespace {
 
-/// A search ends after this many agents. Packets carry the count in 8 bits.
+/// A first packet is dropped after this many agents. Packets carry the count in
+/// 8 bits.
 constexpr std::uint8_t MaxAttempts = 250;
 
 /// Average load of one open flow, in requests. Long-lived flows are idle most
@@ -20,24 +24,24 @@
 /// slots.
 constexpr double RemoteLoadPenalty = 0.2;
 
-/// A search queries this many agents one at a time, which finds the holder with
-/// few packets in small services. It then queries ParallelQueries agents at a
-/// time, so that a search through a service of 50 upstreams takes 12 round
-/// trips instead of 50.
-constexpr std::size_t MaxSequentialQueries = 6;
-constexpr std::size_t ParallelQueries = 8;
+/// A first packet may go to any member of a service of up to this many: the
+/// choice by load then spreads flows better than one among a few, and a search
+/// is short all the same.
+constexpr std::size_t MaxMembersOfOneChoice = 16;
+
+/// Capacity of the token bucket that limits queries: several searches through a
+/// service of the largest deployment.
+constexpr double QueryBurst = 256;
+
+/// A search that found no holder because agents did not reply is kept this
+/// long, so that the next packet of the flow asks only those again.
+constexpr Duration SearchRetention{5000};
 
 /// A sequence number that is further ahead of the first one of a flow than this
 /// belongs to another connection with the same endpoints: two upstreams that
 /// both accepted the first packet use different initial sequence numbers.
 constexpr std::uint32_t SequenceWindowBytes = 16U * 1024 * 1024;
 
-/// Bucket of the flow for rendezvousWeight(), computed as in the rankings of
-/// Service.
-std::uint16_t bucketOf(const FlowEndpoints &flow) {
-  return static_cast<std::uint16_t>(hashFlowEndpoints(flow) >> 52);
-}
-
 /// Load and availability of an agent, as known to this balancer.
 struct AgentStatus {
   UpstreamLoad Load;
@@ -46,6 +50,7 @@
   /// The agent declined a flow and is offered no new flow before this time.
   TimePoint AvoidUntil{};
   TimePoint SilentUntil{};
+  bool AnswersQueries = false;
 };
 
 struct Holder {
@@ -62,16 +67,11 @@
   ServiceNameHash Service;
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
   bool Confirmed = false;
+  /// The flow has an entry in FlowRouterImpl::Searches.
   bool Searching = false;
-  /// Agents already queried by this search. The candidates are reordered while
-  /// the search runs, so an index into them would skip some.
-  std::vector<Endpoint> Queried;
-  /// Agents of the current round that have not answered yet.
-  std::vector<Endpoint> AwaitingAnswer;
-  /// The current round queries more than one agent.
-  bool IsParallel = false;
-  /// At least one agent of this search did not answer in time.
-  bool HasUnresponsive = false;
+  /// Set once the flow is known to have no holder. Further packets are reset
+  /// without another search for LostFlowRetention.
+  std::optional<TimePoint> LostAt;
   std::uint8_t Attempt = 0;
   TimePoint ForwardedAt{};
   TimePoint LastPacketAt{};
@@ -82,11 +82,24 @@
   std::optional<TimePoint> DeferredSince;
 };
 
-struct SearchCandidate {
-  const ServiceMember *Member = nullptr;
-  ServiceNameHash Service;
+/// How long packets of a flow without a holder are reset without a search: its
+/// caller may have several packets on their way.
+constexpr Duration LostFlowRetention{2000};
+
+/// The agents that may hold a flow.
+struct SearchCandidates {
+  std::vector<HolderCandidate> All;
+  /// Number of agents that the first round queries.
+  std::size_t FirstRound = 0;
 };
 
+/// Returns whether the packet acknowledges data of the connection that this
+/// holder's upstream has accepted.
+bool acceptedBy(const Holder &holder, const FlowPacket &packet) {
+  return holder.FirstSequence != 0 && packet.Acknowledges &&
+         packet.Acknowledgement - holder.FirstSequence <= SequenceWindowBytes;
+}
+
 class FlowRouterImpl final : public FlowRouter {
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
@@ -103,6 +116,12 @@
   std::optional<HolderConfirmation> onFlowHeld(const FlowHeld &message,
                                                const Endpoint &agent,
                                                TimePoint now) override;
+  RelayDecision onFlowNotHeld(const FlowNotHeld &message, const Endpoint &agent,
+                              const ServiceTable &table,
+                              TimePoint now) override;
+  std::vector<FlowDecision> pollSearches(const ServiceTable &table,
+                                         TimePoint now) override;
+  bool isSearching() const override;
   void tick(TimePoint now) override;
   std::size_t flowCount() const override { return Flows.size(); }
 
@@ -115,13 +134,23 @@
                           TimePoint now);
   RelayDecision deferFirstPacket(FlowEntry &entry, const FlowEndpoints &flow,
                                  const Service &service, TimePoint now);
+  /// Starts or resumes the search for the holder of a flow.
   RelayDecision search(FlowEntry &entry, const FlowEndpoints &flow,
                        const RouteRecord &route, const ServiceTable &table,
                        TimePoint now);
-  std::vector<SearchCandidate> candidates(const FlowEndpoints &flow,
-                                          const RouteRecord &route,
-                                          const ServiceTable &table,
-                                          TimePoint now) const;
+  RelayDecision advanceSearch(FlowEntry &entry, const FlowEndpoints &flow,
+                              const RouteRecord &route,
+                              const ServiceTable &table, TimePoint now);
+  void endSearch(FlowEntry &entry, const FlowEndpoints &flow);
+  SearchCandidates candidates(const FlowEndpoints &flow,
+                              const RouteRecord &route,
+                              const ServiceTable &table, TimePoint now) const;
+  /// Returns the least loaded eligible member of the first tiers that have one.
+  const ServiceMember *chooseMember(const FlowEndpoints &flow,
+                                    const Service &service,
+                                    DataCentreId localDataCentre,
+                                    TimePoint now) const;
+  std::size_t takeQueryBudget(TimePoint now);
   static const RouteShare *chooseShare(const FlowEndpoints &flow,
                                        const RouteRecord &route);
   double loadOf(const ServiceMember &member,
@@ -133,19 +162,23 @@
   void recordTimeout(const Endpoint &agent, TimePoint now);
   static RelayDecision forwardDecision(const FlowEntry &entry,
                                        RelayReason reason);
-  /// Sends the packet to all agents of the current round that have not
-  /// answered.
-  static RelayDecision queryDecision(const FlowEntry &entry);
   /// Forwards to the current holder a packet that \p visitedAgents agents have
   /// returned.
   static RelayDecision forwardToHolder(const FlowEntry &entry,
                                        std::uint8_t visitedAgents);
   RelayDecision removeFlow(const FlowEndpoints &flow, RelayAction action,
                            RelayReason reason);
+  /// Resets a flow that no upstream holds.
+  RelayDecision resetLostFlow(FlowEntry &entry, const FlowEndpoints &flow,
+                              RelayReason reason, TimePoint now);
 
   FlowRouterOptions Options;
   absl::flat_hash_map<FlowEndpoints, FlowEntry, std::hash<FlowEndpoints>> Flows;
+  absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
+      Searches;
   absl::flat_hash_map<Endpoint, AgentStatus, std::hash<Endpoint>> Agents;
+  double QueryTokens = QueryBurst;
+  TimePoint QueryTokensAt{};
   TimePoint LastSweep{};
 };
 
@@ -160,14 +193,6 @@
           .ColdMilliflowsPerSecond = entry.ColdMilliflowsPerSecond};
 }
 
-RelayDecision FlowRouterImpl::queryDecision(const FlowEntry &entry) {
-  RelayDecision decision = forwardDecision(entry, RelayReason::Search);
-  decision.Agent = entry.AwaitingAnswer.front();
-  decision.OtherAgents.assign(entry.AwaitingAnswer.begin() + 1,
-                              entry.AwaitingAnswer.end());
-  return decision;
-}
-
 RelayDecision FlowRouterImpl::forwardToHolder(const FlowEntry &entry,
                                               std::uint8_t visitedAgents) {
   RelayDecision decision = forwardDecision(entry, RelayReason::Held);
@@ -192,9 +217,20 @@
                                          RelayAction action,
                                          RelayReason reason) {
   Flows.erase(flow);
+  Searches.erase(flow);
   return {.Action = action, .Reason = reason};
 }
 
+RelayDecision FlowRouterImpl::resetLostFlow(FlowEntry &entry,
+                                            const FlowEndpoints &flow,
+                                            RelayReason reason, TimePoint now) {
+  endSearch(entry, flow);
+  entry = {};
+  entry.LostAt = now;
+  entry.LastPacketAt = now;
+  return {.Action = RelayAction::Reset, .Reason = reason};
+}
+
 FlowEntry &FlowRouterImpl::findOrInsert(const FlowEndpoints &flow,
                                         TimePoint now) {
   const auto it = Flows.find(flow);
@@ -204,6 +240,7 @@
     // A search can find any holder again, so evicting an arbitrary flow costs
     // extra hops only. Finding the flow that has been idle for longest would
     // cost more.
+    Searches.erase(Flows.begin()->first);
     Flows.erase(Flows.begin());
   }
   FlowEntry &entry = Flows[flow];
@@ -226,16 +263,15 @@
     return routeFirstPacket(flow, *route, table, now);
   FlowEntry &entry = findOrInsert(flow, now);
   entry.LastPacketAt = now;
+  if (entry.LostAt && now - *entry.LostAt < LostFlowRetention)
+    return {.Action = packet.Resets ? RelayAction::Drop : RelayAction::Reset,
+            .Reason = RelayReason::Unknown};
+  entry.LostAt.reset();
   if (entry.Current.Agent.Port != 0 && !entry.Searching) {
     // Two upstreams may have accepted copies of the first packet. The
     // acknowledgement shows which one's sequence numbers the caller uses.
-    const auto distance = [&](const Holder &it) {
-      return packet.Acknowledgement - it.FirstSequence;
-    };
-    if (packet.Acknowledges && entry.Alternate.Agent.Port != 0 &&
-        entry.Alternate.FirstSequence != 0 &&
-        distance(entry.Alternate) <= SequenceWindowBytes &&
-        distance(entry.Current) > SequenceWindowBytes)
+    if (acceptedBy(entry.Alternate, packet) &&
+        !acceptedBy(entry.Current, packet))
       std::swap(entry.Current, entry.Alternate);
     return forwardDecision(entry, RelayReason::Held);
   }
@@ -248,6 +284,7 @@
                                                TimePoint now) {
   FlowEntry &entry = findOrInsert(flow, now);
   entry.LastPacketAt = now;
+  entry.LostAt.reset();
   if (!entry.Confirmed && !entry.ResolvingSince)
     entry.ResolvingSince = now;
   if (entry.Current.Agent.Port != 0) {
@@ -298,6 +335,34 @@
   return remote + work / std::max<double>(status.Load.Slots, 1);
 }
 
+const ServiceMember *FlowRouterImpl::chooseMember(const FlowEndpoints &flow,
+                                                  const Service &service,
+                                                  DataCentreId localDataCentre,
+                                                  TimePoint now) const {
+  const std::vector<RankedMember> ranked =
+      rankMembers(flow, service.members(), {}, localDataCentre);
+  const bool isOneChoice = ranked.size() <= MaxMembersOfOneChoice;
+  // Tiers are taken in groups of 1, 2, 4 and so on.
+  std::uint32_t lastTier = 0;
+  const ServiceMember *best = nullptr;
+  double bestLoad = 0;
+  for (const RankedMember &it : ranked) {
+    if (!isOneChoice && it.Tier > lastTier) {
+      if (best != nullptr)
+        break;
+      lastTier = 2 * lastTier + 2;
+    }
+    if (!isEligible(*it.Member, now))
+      continue;
+    const double load = loadOf(*it.Member, localDataCentre);
+    if (best == nullptr || load < bestLoad) {
+      best = it.Member;
+      bestLoad = load;
+    }
+  }
+  return best;
+}
+
 RelayDecision FlowRouterImpl::placeFlow(FlowEntry &entry,
                                         const FlowEndpoints &flow,
                                         const RouteRecord &route,
@@ -309,21 +374,8 @@
   if (service == nullptr)
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
-  const auto bucket = bucketOf(flow);
-  // Choose the least loaded upstream. Ties are broken by rank in the flow's
-  // bucket, so that balancers with the same load data spread their flows.
-  const ServiceMember *best = nullptr;
-  std::pair<double, std::uint64_t> bestKey;
-  for (const ServiceMember &it : service->members()) {
-    if (!isEligible(it, now))
-      continue;
-    const std::pair<double, std::uint64_t> key{loadOf(it, localDataCentre),
-                                               rendezvousWeight(bucket, it.Id)};
-    if (best == nullptr || key < bestKey) {
-      best = &it;
-      bestKey = key;
-    }
-  }
+  const ServiceMember *best =
+      chooseMember(flow, *service, localDataCentre, now);
   if (best == nullptr)
     return deferFirstPacket(entry, flow, *service, now);
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
@@ -332,9 +384,7 @@
   entry.Service = hashServiceName(service->name());
   entry.ColdMilliflowsPerSecond = share->ColdMilliflowsPerSecond;
   entry.Confirmed = false;
-  entry.Searching = false;
-  entry.Queried.clear();
-  entry.AwaitingAnswer.clear();
+  endSearch(entry, flow);
   entry.ForwardedAt = now;
   ++Agents[best->Address].PlacedSinceReport;
   return forwardDecision(entry, RelayReason::Placed);
@@ -363,45 +413,54 @@
   return {.Action = RelayAction::Defer, .Reason = RelayReason::Busy};
 }
 
-std::vector<SearchCandidate>
-FlowRouterImpl::candidates(const FlowEndpoints &flow, const RouteRecord &route,
-                           const ServiceTable &table, TimePoint now) const {
+SearchCandidates FlowRouterImpl::candidates(const FlowEndpoints &flow,
+                                            const RouteRecord &route,
+                                            const ServiceTable &table,
+                                            TimePoint now) const {
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
-  const auto bucket = bucketOf(flow);
-  std::vector<SearchCandidate> all;
   std::vector<ServiceId> services;
   for (const RouteShare &it : route.Shares)
     services.push_back(it.Service);
   services.insert(services.end(), route.FormerServices.begin(),
                   route.FormerServices.end());
-  const auto isSilent = [&](const ServiceMember &it) {
-    const auto status = Agents.find(it.Address);
-    return it.State == CandidateState::Suspect ||
-           (status != Agents.end() && now < status->second.SilentUntil);
-  };
+  SearchCandidates found;
+  std::vector<HolderCandidate> silent;
   for (const ServiceId id : services) {
     const Service *service = table.find(id);
     if (service == nullptr)
       continue;
-    const ServiceNameHash nameHash = hashServiceName(service->name());
-    const std::size_t begin = all.size();
-    for (const ServiceMember &it : service->members())
-      all.push_back({&it, nameHash});
-    for (const ServiceMember &it : table.withdrawnMembers(id))
-      all.push_back({&it, nameHash});
-    std::sort(all.begin() + static_cast<std::ptrdiff_t>(begin), all.end(),
-              [&](const SearchCandidate &a, const SearchCandidate &b) {
-                const auto key = [&](const ServiceMember &it) {
-                  return std::tuple(it.DataCentre != localDataCentre,
-                                    rendezvousWeight(bucket, it.Id));
-                };
-                return key(*a.Member) < key(*b.Member);
-              });
+    const ServiceNameHash name = hashServiceName(service->name());
+    for (const RankedMember &it :
+         rankMembers(flow, service->members(), table.withdrawnMembers(id),
+                     localDataCentre)) {
+      const ServiceMember &member = *it.Member;
+      const auto status = Agents.find(member.Address);
+      const bool isKnown = status != Agents.end();
+      const bool isSilent = member.State == CandidateState::Suspect ||
+                            (isKnown && now < status->second.SilentUntil);
+      (isSilent ? silent : found.All)
+          .push_back(
+              {member.Address, name, isKnown && status->second.AnswersQueries});
+      found.FirstRound += it.Tier == 0 ? 1 : 0;
+    }
   }
-  std::stable_partition(all.begin(), all.end(), [&](const SearchCandidate &it) {
-    return !isSilent(*it.Member);
-  });
-  return all;
+  found.All.insert(found.All.end(), silent.begin(), silent.end());
+  return found;
+}
+
+std::size_t FlowRouterImpl::takeQueryBudget(TimePoint now) {
+  if (QueryTokensAt != TimePoint{})
+    QueryTokens =
+        std::min(QueryBurst, QueryTokens + toSeconds(now - QueryTokensAt) *
+                                               Options.QueriesPerSecond);
+  QueryTokensAt = now;
+  return static_cast<std::size_t>(QueryTokens);
+}
+
+void FlowRouterImpl::endSearch(FlowEntry &entry, const FlowEndpoints &flow) {
+  if (entry.Searching)
+    Searches.erase(flow);
+  entry.Searching = false;
 }
 
 RelayDecision FlowRouterImpl::search(FlowEntry &entry,
@@ -411,44 +470,94 @@
   if (!entry.Searching) {
     entry.Searching = true;
     entry.ResolvingSince = now;
-    entry.HasUnresponsive = false;
-    entry.Queried.clear();
-    entry.AwaitingAnswer.clear();
     entry.Current = {};
-  } else if (!entry.AwaitingAnswer.empty()) {
-    if (now - entry.ForwardedAt < Options.AnswerTimeout)
-      return queryDecision(entry);
-    for (const Endpoint &it : entry.AwaitingAnswer)
-      recordTimeout(it, now);
-    entry.HasUnresponsive = true;
-    entry.AwaitingAnswer.clear();
+    Searches.try_emplace(flow, now);
   }
-  const std::vector<SearchCandidate> all = candidates(flow, route, table, now);
-  const auto isNotQueried = [&](const SearchCandidate &it) {
-    return std::ranges::count(entry.Queried, it.Member->Address) == 0;
-  };
-  const auto next = std::ranges::find_if(all, isNotQueried);
-  if (next == all.end() || entry.Queried.size() >= MaxAttempts) {
-    return entry.HasUnresponsive
-               ? removeFlow(flow, RelayAction::Drop, RelayReason::Unanswered)
-               : removeFlow(flow, RelayAction::Reset, RelayReason::Unknown);
+  HolderSearch &it = Searches.at(flow);
+  if (it.isFinished())
+    it.resume();
+  return advanceSearch(entry, flow, route, table, now);
+}
+
+RelayDecision FlowRouterImpl::advanceSearch(FlowEntry &entry,
+                                            const FlowEndpoints &flow,
+                                            const RouteRecord &route,
+                                            const ServiceTable &table,
+                                            TimePoint now) {
+  HolderSearch &search = Searches.at(flow);
+  RelayDecision decision{.Action = RelayAction::Query,
+                         .Reason = RelayReason::Search};
+  if (!search.canAdvance(now))
+    return decision;
+  const SearchCandidates agents = candidates(flow, route, table, now);
+  const SearchStep step =
+      search.advance(agents.All, agents.FirstRound, takeQueryBudget(now), now);
+  for (const Endpoint &it : search.unresponsive())
+    recordTimeout(it, now);
+  switch (step.Action) {
+  case SearchStep::Kind::Wait:
+    return decision;
+  case SearchStep::Kind::Query:
+    QueryTokens -= static_cast<double>(step.Agents.size());
+    for (const HolderCandidate &it : step.Agents)
+      decision.Queries.push_back({it.Agent, it.Service});
+    return decision;
+  case SearchStep::Kind::Probe:
+    decision.Action = RelayAction::Forward;
+    decision.Agent = step.Agents[0].Agent;
+    decision.Service = step.Agents[0].Service;
+    decision.NeedsConfirmation = true;
+    for (const HolderCandidate &it : std::span(step.Agents).subspan(1))
+      decision.OtherAgents.push_back(it.Agent);
+    return decision;
+  case SearchStep::Kind::Unanswered:
+    // The entry stays, so that the next packet resumes the search.
+    entry.LastPacketAt = now;
+    return {.Action = RelayAction::Drop, .Reason = RelayReason::Unanswered};
+  case SearchStep::Kind::NotFound:
+    return resetLostFlow(entry, flow, RelayReason::Unknown, now);
   }
-  entry.Attempt = static_cast<std::uint8_t>(entry.Queried.size());
-  entry.Current = {next->Member->Address, 0};
-  entry.Service = next->Service;
-  entry.Confirmed = false;
-  entry.ForwardedAt = now;
-  const std::size_t breadth =
-      entry.Queried.size() < MaxSequentialQueries ? 1 : ParallelQueries;
-  for (auto it = next; it != all.end() && entry.AwaitingAnswer.size() < breadth;
-       ++it) {
-    if (it->Service == entry.Service && isNotQueried(*it)) {
-      entry.AwaitingAnswer.push_back(it->Member->Address);
-      entry.Queried.push_back(it->Member->Address);
-    }
+  return decision;
+}
+
+RelayDecision FlowRouterImpl::onFlowNotHeld(const FlowNotHeld &message,
+                                            const Endpoint &agent,
+                                            const ServiceTable &table,
+                                            TimePoint now) {
+  recordAnswer(agent, message.Load).AnswersQueries = true;
+  const FlowEndpoints flow{message.Caller, message.Service};
+  const auto it = Searches.find(flow);
+  if (it == Searches.end())
+    return {.Action = RelayAction::Query, .Reason = RelayReason::Search};
+  it->second.onNotHeld(agent, message.IsCertain);
+  const RouteRecord *route = table.findRoute(flow.Service);
+  if (route == nullptr)
+    return removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute);
+  return advanceSearch(Flows.at(flow), flow, *route, table, now);
+}
+
+std::vector<FlowDecision>
+FlowRouterImpl::pollSearches(const ServiceTable &table, TimePoint now) {
+  std::vector<FlowEndpoints> due;
+  for (const auto &[flow, it] : Searches)
+    if (it.canAdvance(now))
+      due.push_back(flow);
+  std::vector<FlowDecision> decisions;
+  for (const FlowEndpoints &flow : due) {
+    const RouteRecord *route = table.findRoute(flow.Service);
+    RelayDecision decision =
+        route == nullptr
+            ? removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute)
+            : advanceSearch(Flows.at(flow), flow, *route, table, now);
+    if (decision.Action != RelayAction::Query || !decision.Queries.empty())
+      decisions.push_back({flow, std::move(decision)});
   }
-  entry.IsParallel = entry.AwaitingAnswer.size() > 1;
-  return queryDecision(entry);
+  return decisions;
+}
+
+bool FlowRouterImpl::isSearching() const {
+  return std::ranges::any_of(
+      Searches, [](const auto &it) { return !it.second.isFinished(); });
 }
 
 RelayDecision FlowRouterImpl::onReturnedPacket(const FlowPacket &packet,
@@ -465,29 +574,35 @@
     return {.Action = RelayAction::Drop, .Reason = RelayReason::Unknown};
   FlowEntry &entry = findOrInsert(flow, now);
   const auto visitedAgents = static_cast<std::uint8_t>(message.Attempt + 1);
-  const bool wasAsked = std::erase(entry.AwaitingAnswer, agent) > 0;
-  if (entry.IsParallel && (entry.Searching || wasAsked)) {
-    // The other agents of the round were sent the same packet, and one of them
-    // may hold the flow.
-    if (!entry.Searching || !entry.AwaitingAnswer.empty())
-      return {.Action = RelayAction::Drop, .Reason = RelayReason::Search};
-  } else if (entry.Current.Agent.Port != 0 && entry.Current.Agent != agent) {
-    // The flow has been placed or found on another agent in the meantime.
+  const bool isFromHolder = entry.Current.Agent == agent;
+  // The flow has been placed or found on another agent in the meantime.
+  if (entry.Current.Agent.Port != 0 && !isFromHolder)
     return forwardToHolder(entry, visitedAgents);
-  }
   if (packet.Opens) {
     status.AvoidUntil = now + Duration(message.RetryAfterMs);
     entry.Attempt = visitedAgents;
     entry.Current = {};
     return placeFlow(entry, flow, *route, table, now);
   }
+  if (entry.LostAt)
+    return {.Action = RelayAction::Drop, .Reason = RelayReason::Unknown};
   if (entry.Alternate.Agent.Port != 0 && !entry.Searching) {
     entry.Current = std::exchange(entry.Alternate, {});
     return forwardToHolder(entry, visitedAgents);
   }
-  // This agent does not hold the flow; query the next one.
-  entry.Current = {};
-  RelayDecision decision = search(entry, flow, *route, table, now);
+  RelayDecision decision;
+  if (isFromHolder && acceptedBy(entry.Current, packet)) {
+    decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
+  } else {
+    if (!entry.Searching) {
+      entry.Searching = true;
+      entry.ResolvingSince = now;
+      entry.Current = {};
+      Searches.try_emplace(flow, now);
+    }
+    Searches.at(flow).onNotHeld(agent, true);
+    decision = search(entry, flow, *route, table, now);
+  }
   // A reset is sent only to a caller that waits for an answer, not in reply to
   // its own reset.
   if (decision.Action == RelayAction::Reset && packet.Resets)
@@ -499,22 +614,22 @@
 FlowRouterImpl::onFlowHeld(const FlowHeld &message, const Endpoint &agent,
                            TimePoint now) {
   recordAnswer(agent, message.Load);
-  FlowEntry &entry = findOrInsert({message.Caller, message.Service}, now);
-  std::erase(entry.AwaitingAnswer, agent);
+  const FlowEndpoints flow{message.Caller, message.Service};
+  FlowEntry &entry = findOrInsert(flow, now);
   const Holder holder{agent, message.FirstSequence};
   if (entry.Confirmed && entry.Current.Agent != agent) {
     entry.Alternate = holder;
     return std::nullopt;
   }
   std::optional<HolderConfirmation> found;
+  entry.LostAt.reset();
   if (entry.ResolvingSince)
     found = {entry.Searching, now - *entry.ResolvingSince};
   entry.ResolvingSince.reset();
   entry.Current = holder;
   entry.DeferredSince.reset();
   entry.Confirmed = true;
-  entry.Searching = false;
-  entry.Queried.clear();
+  endSearch(entry, flow);
   entry.Attempt = 0;
   return found;
 }
@@ -525,7 +640,13 @@
     return;
   LastSweep = now;
   absl::erase_if(Flows, [&](const auto &it) {
-    return now - it.second.LastPacketAt >= Options.FlowIdleTimeout;
+    const FlowEntry &entry = it.second;
+    const Duration limit =
+        entry.Searching ? SearchRetention : Options.FlowIdleTimeout;
+    const bool isOver = now - entry.LastPacketAt >= limit;
+    if (isOver && entry.Searching)
+      Searches.erase(it.first);
+    return isOver;
   });
 }
 
@@ -571,6 +692,8 @@
     return "unknown-flow";
   case RelayReason::Unanswered:
     return "unanswered";
+  case RelayReason::HolderLost:
+    return "holder-lost";
   }
   return "other";
 }
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -80,7 +80,11 @@
   Reset,
   Drop,
   /// Keep the packet and route it again after a short delay.
-  Defer
+  Defer,
+  /// Keep the packet, which replaces an earlier one of its flow, and send a
+  /// FlowQuery to each of RelayDecision::Queries. A later decision of the
+  /// router says what becomes of the packet.
+  Query
 };
 
 enum class RelayReason : std::uint8_t {
@@ -100,11 +104,20 @@
   Unknown,
   /// At least one candidate has not answered, so the flow may still exist.
   Unanswered,
-  Max = Unanswered
+  /// The agent that held the flow has returned a packet of it: the upstream has
+  /// lost the flow, and no other one can have it.
+  HolderLost,
+  Max = HolderLost
 };
 
 std::string_view nameOf(RelayReason reason);
 
+/// An agent that is asked whether its upstream holds a flow.
+struct QueryTarget {
+  Endpoint Agent;
+  ServiceNameHash Service;
+};
+
 struct RelayDecision {
   RelayAction Action = RelayAction::Drop;
   RelayReason Reason = RelayReason::NoTable;
@@ -112,6 +125,8 @@
   Endpoint Agent{};
   /// In a search, further agents that are sent the same packet.
   std::vector<Endpoint> OtherAgents{};
+  /// Set for Query only. Empty if the search waits for replies.
+  std::vector<QueryTarget> Queries{};
   ServiceNameHash Service{};
   std::uint8_t Attempt = 0;
   /// The holder is not confirmed yet; the agent is asked to confirm it with a
@@ -135,6 +150,9 @@
   Duration AnswerTimeout{150};
   /// How long an agent that did not answer gets no new flows.
   Duration UnresponsivePenalty{1000};
+  /// Limits the rate of queries of all searches. A query and its reply take
+  /// about 140 bytes with their headers, so this is half of a link of 2 Mbit/s.
+  std::uint32_t QueriesPerSecond = 1000;
   /// Longest time for which a first packet is deferred until an upstream is
   /// free. It equals the shortest response-time goal of the deployments.
   Duration MaxDeferral{100};
@@ -153,6 +171,13 @@
 
   void add(const FlowEndpoints &flow, std::span<const std::byte> buf,
            TimePoint arrived);
+  /// Removes and returns the packet of a flow, or nullopt if there is none that
+  /// has not expired.
+  std::optional<Packet> takeOne(const FlowEndpoints &flow, TimePoint now);
+  /// Returns the packet of a flow, or nullptr.
+  const Packet *find(const FlowEndpoints &flow) const;
+  /// Removes expired packets.
+  void expire(TimePoint now);
   /// Empties the buffer and returns the packets that have not expired, newest
   /// first.
   std::vector<Packet> take(TimePoint now);
@@ -169,10 +194,17 @@
   Duration Elapsed{0};
 };
 
+/// A decision on the kept packet of a flow.
+struct FlowDecision {
+  FlowEndpoints Flow;
+  RelayDecision Decision;
+};
+
 /// Finds the agent for each packet from a caller. The router remembers the
 /// holders of flows that it placed or found. For other flows it queries the
 /// agents of the route in an order that depends on the hash of the flow and the
-/// state of the agents.
+/// state of the agents. New flows are placed in the same order, so a search
+/// begins with the agents that are most likely to hold the flow.
 class FlowRouter {
 public:
   virtual ~FlowRouter() = default;
@@ -188,6 +220,16 @@
   /// was already confirmed.
   virtual std::optional<HolderConfirmation>
   onFlowHeld(const FlowHeld &message, const Endpoint &agent, TimePoint now) = 0;
+  /// Returns the decision on the kept packet of the flow.
+  virtual RelayDecision onFlowNotHeld(const FlowNotHeld &message,
+                                      const Endpoint &agent,
+                                      const ServiceTable &table,
+                                      TimePoint now) = 0;
+  /// Continues searches whose queries are overdue. Must be called every few
+  /// milliseconds while isSearching().
+  virtual std::vector<FlowDecision> pollSearches(const ServiceTable &table,
+                                                 TimePoint now) = 0;
+  virtual bool isSearching() const = 0;
   virtual void tick(TimePoint now) = 0;
   virtual std::size_t flowCount() const = 0;
 };
@@ -247,6 +289,8 @@
   Duration OpenTimeout{150};
   Duration FlowIdleTimeout{60000};
   std::size_t MaxFlows = 20000;
+  /// Start of the agent process, in milliseconds since the Unix epoch.
+  std::uint64_t StartedAtMs = 0;
 };
 
 /// The datagrams to send (to the upstream, a caller or a balancer) and the
@@ -316,6 +360,9 @@
   /// Handles a packet from a balancer.
   virtual void onRelayedPacket(RelayedPacket message, const Endpoint &balancer,
                                TimePoint now, RelayOutput &out) = 0;
+  /// Answers whether the upstream holds a flow, without asking the upstream.
+  virtual void onFlowQuery(const FlowQuery &message, const Endpoint &balancer,
+                           TimePoint now, RelayOutput &out) = 0;
   /// Handles a packet from the upstream, which is either an answer to a caller
   /// or a packet that the upstream returns.
   virtual void onUpstreamPacket(std::span<const std::byte> buf, TimePoint now,
--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -1,6 +1,7 @@
 #include "Relay/Relay.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <algorithm>
 #include <array>
@@ -48,9 +49,23 @@
 /// expected. The value is a few round trips to callers.
 constexpr Duration FirstRequestTimeout{50};
 
-/// A flow that both ends have closed is kept for this long to handle
-/// retransmitted packets.
-constexpr Duration ClosedFlowRetention{3000};
+/// A flow that both ends have closed is kept for this long, because the ends
+/// may retransmit their last packets. Both give up after about 10 s.
+constexpr Duration ClosedFlowRetention{12000};
+
+/// An agent that started at most this long after its upstream knows all flows
+/// of the upstream: both start at the same time when their machine does, and
+/// the upstream gets no packets without an agent.
+constexpr std::uint64_t JointStartMs = 500;
+
+/// The first report that an agent receives from an upstream that started with
+/// it has at most this sequence number. It guards JointStartMs against a clock
+/// that was set back between the two starts.
+constexpr std::uint64_t MaxFirstSequence = 3;
+
+/// A flow that opened this long before the first report of a new lifetime may
+/// belong to that lifetime: an upstream accepts flows before its first report.
+constexpr Duration FirstReportDelay{5000};
 
 struct Flow {
   Endpoint Balancer;
@@ -60,6 +75,8 @@
   TimePoint BusySince{};
   /// Sequence number after the last data of the caller seen so far.
   std::uint32_t CallerDataEnd = 0;
+  /// When the upstream sent its first packet of the flow.
+  TimePoint AcceptedAt{};
   bool HasData = false;
   bool Busy = false;
   /// The upstream has sent a packet of the flow.
@@ -80,12 +97,23 @@
   TimePoint DeliveredAt{};
 };
 
+bool isClosed(const Flow &flow) {
+  return flow.CallerClosed && flow.UpstreamClosed;
+}
+
 struct SentPacket {
   std::uint32_t Tag = 0;
   Endpoint Balancer;
   std::uint8_t Attempt = 0;
 };
 
+template <typename Message>
+void sendMessage(const Endpoint &to, Message message, RelayOutput &out) {
+  RelayOutput::Datagram &it = out.Datagrams.emplace_back();
+  it.To = to;
+  it.Content.emplace<DataMessage>(std::move(message));
+}
+
 class UpstreamRelayImpl final : public UpstreamRelay {
 public:
   UpstreamRelayImpl(UpstreamRelayOptions options, const PacketFormat &format)
@@ -95,6 +123,8 @@
 
   void onRelayedPacket(RelayedPacket message, const Endpoint &balancer,
                        TimePoint now, RelayOutput &out) override;
+  void onFlowQuery(const FlowQuery &message, const Endpoint &balancer,
+                   TimePoint now, RelayOutput &out) override;
   void onUpstreamPacket(std::span<const std::byte> buf, TimePoint now,
                         RelayOutput &out) override;
   void tick(TimePoint now, RelayOutput &out) override;
@@ -130,6 +160,11 @@
   void expireBusyFlows(TimePoint now);
   void recordRequest(Flow &flow, const FlowPacket &packet, TimePoint now);
   void erase(const FlowEndpoints &endpoints);
+  void removePendingOpen(const FlowEndpoints &endpoints);
+  /// Returns whether the upstream certainly does not hold a flow that is not in
+  /// Flows.
+  bool knowsAllFlows(const FlowEndpoints &endpoints, TimePoint now) const;
+  void setClosed(Flow &flow, bool byCaller, bool byUpstream);
   Flow *find(const FlowEndpoints &endpoints);
   Flow &insert(const FlowEndpoints &endpoints, TimePoint now);
 
@@ -139,6 +174,10 @@
 
   UpstreamReport LastReport;
   bool HasReport = false;
+  /// Sequence number of the first report that this agent has received.
+  std::uint64_t FirstSequence = 0;
+  /// The agent has run since before the upstream's lifetime began.
+  bool IsLaterLifetime = false;
   bool Ended = false;
   bool Withdrawn = false;
   TimePoint LastReportAt{};
@@ -151,6 +190,11 @@
   TimePoint UnansweredUntil{};
 
   absl::flat_hash_map<FlowEndpoints, Flow, std::hash<FlowEndpoints>> Flows;
+  /// Flows that were removed at the first report of a new lifetime, although
+  /// they may belong to it.
+  absl::flat_hash_set<FlowEndpoints, std::hash<FlowEndpoints>> UncertainFlows;
+  std::size_t ClosedFlows = 0;
+  std::optional<TimePoint> RunningSince;
   std::deque<PendingOpen> PendingOpens;
   std::vector<SentPacket> SentPackets;
   std::uint32_t LastTag = 0;
@@ -199,14 +243,64 @@
   if (it == Flows.end())
     return;
   setBusy(it->second, false, {});
+  ClosedFlows -= isClosed(it->second) ? 1 : 0;
   Flows.erase(it);
 }
 
+void UpstreamRelayImpl::removePendingOpen(const FlowEndpoints &endpoints) {
+  std::erase_if(PendingOpens, [&](const PendingOpen &it) {
+    return it.Endpoints == endpoints;
+  });
+}
+
+void UpstreamRelayImpl::setClosed(Flow &flow, bool byCaller, bool byUpstream) {
+  const bool wasClosed = isClosed(flow);
+  flow.CallerClosed = flow.CallerClosed || byCaller;
+  flow.UpstreamClosed = flow.UpstreamClosed || byUpstream;
+  ClosedFlows += !wasClosed && isClosed(flow) ? 1 : 0;
+}
+
+bool UpstreamRelayImpl::knowsAllFlows(const FlowEndpoints &endpoints,
+                                      TimePoint now) const {
+  if (!HasReport || UncertainFlows.contains(endpoints))
+    return false;
+  if (Ended || IsLaterLifetime)
+    return true;
+  if (LastReport.StartedAtMs + JointStartMs >= Options.StartedAtMs &&
+      FirstSequence <= MaxFirstSequence)
+    return true;
+  // Flows that have been idle for longer are forgotten anyway.
+  return RunningSince && now - *RunningSince >= Options.FlowIdleTimeout;
+}
+
+void UpstreamRelayImpl::onFlowQuery(const FlowQuery &message,
+                                    const Endpoint &balancer, TimePoint now,
+                                    RelayOutput &out) {
+  const FlowEndpoints endpoints{message.Caller, message.Service};
+  const Flow *flow = find(endpoints);
+  const bool isSameService = message.ServiceName == Service;
+  if (isSameService && flow != nullptr && flow->AcceptedByUpstream) {
+    sendMessage(
+        balancer,
+        FlowHeld{message.Caller, message.Service, flow->FirstSequence, load()},
+        out);
+    return;
+  }
+  // If the service differs, the agent's address belonged to an upstream of that
+  // service earlier, which has ended with all of its flows.
+  const bool isCertain =
+      !isSameService || (flow == nullptr && knowsAllFlows(endpoints, now));
+  sendMessage(balancer,
+              FlowNotHeld{message.Caller, message.Service, isCertain, load()},
+              out);
+}
+
 UpstreamLoad UpstreamRelayImpl::load() const {
   const auto clamp = [](std::size_t n) {
     return static_cast<std::uint16_t>(std::min<std::size_t>(n, 0xFFFF));
   };
-  return {clamp(BusyFlows), clamp(Flows.size()), clamp(LastReport.Slots)};
+  return {clamp(BusyFlows), clamp(Flows.size() - ClosedFlows),
+          clamp(LastReport.Slots)};
 }
 
 LocalUpstreamState UpstreamRelayImpl::state(TimePoint now) const {
@@ -233,7 +327,15 @@
        report.Id != LastReport.Id || report.Sequence <= LastReport.Sequence))
     return ReportResult::Outdated;
   if (isNew) {
+    IsLaterLifetime = HasReport;
+    if (!HasReport)
+      FirstSequence = report.Sequence;
+    UncertainFlows.clear();
+    for (const auto &[endpoints, flow] : Flows)
+      if (flow.AcceptedByUpstream && now - flow.AcceptedAt < FirstReportDelay)
+        UncertainFlows.insert(endpoints);
     Flows.clear();
+    ClosedFlows = 0;
     PendingOpens.clear();
     BusyFlows = 0;
     Ended = false;
@@ -317,7 +419,7 @@
       std::clamp<Duration::rep>(retryAfter.count(), 0, 0xFFFF));
   message.Load = load();
   message.Packet = std::move(packet);
-  out.Datagrams.push_back({balancer, DataMessage(std::move(message))});
+  sendMessage(balancer, std::move(message), out);
 }
 
 void UpstreamRelayImpl::deliver(RelayedPacket &message,
@@ -393,7 +495,7 @@
     if (flow->Balancer != balancer)
       flow->HolderReported = false;
     flow->Balancer = balancer;
-    flow->CallerClosed = flow->CallerClosed || packet->Ends;
+    setClosed(*flow, packet->Ends, false);
     recordRequest(*flow, *packet, now);
     // A restarted balancer has lost its record of the holder, and the upstream
     // may have no packet to send that would trigger a FlowHeld message.
@@ -402,6 +504,10 @@
     if (packet->Resets)
       erase(endpoints);
   }
+  // The caller no longer waits for an answer to its first packet, so a missing
+  // answer says nothing about the upstream.
+  if (packet->Resets)
+    removePendingOpen(endpoints);
   deliver(message, balancer, out);
 }
 
@@ -419,9 +525,8 @@
   Bytes copy(buf.begin(), buf.end());
   Format.clearTagAndReturned(copy);
   erase(endpoints);
-  std::erase_if(PendingOpens, [&](const PendingOpen &it) {
-    return it.Endpoints == endpoints;
-  });
+  UncertainFlows.erase(endpoints);
+  removePendingOpen(endpoints);
   if (packet.Opens)
     returnToBalancer(ReturnReason::Declined, sent.Attempt, OverloadRetryDelay,
                      std::move(copy), sent.Balancer, out);
@@ -446,12 +551,11 @@
       out.Timings.push_back({Kind::Answer, now - flow.BusySince});
     setBusy(flow, false, now);
   }
-  flow.UpstreamClosed = flow.UpstreamClosed || packet.Ends;
+  setClosed(flow, false, packet.Ends);
   if (!flow.AcceptedByUpstream) {
     flow.AcceptedByUpstream = true;
-    std::erase_if(PendingOpens, [&](const PendingOpen &it) {
-      return it.Endpoints == endpoints;
-    });
+    flow.AcceptedAt = now;
+    removePendingOpen(endpoints);
   }
   if (!flow.HolderReported && flow.Balancer.Port != 0)
     sendFlowHeld(flow, endpoints, out);
@@ -460,9 +564,10 @@
 void UpstreamRelayImpl::sendFlowHeld(Flow &flow, const FlowEndpoints &endpoints,
                                      RelayOutput &out) {
   flow.HolderReported = true;
-  out.Datagrams.push_back(
-      {flow.Balancer, DataMessage(FlowHeld{endpoints.Caller, endpoints.Service,
-                                           flow.FirstSequence, load()})});
+  sendMessage(
+      flow.Balancer,
+      FlowHeld{endpoints.Caller, endpoints.Service, flow.FirstSequence, load()},
+      out);
 }
 
 void UpstreamRelayImpl::onUpstreamPacket(std::span<const std::byte> buf,
@@ -487,6 +592,8 @@
 }
 
 void UpstreamRelayImpl::tick(TimePoint now, RelayOutput &out) {
+  if (!RunningSince)
+    RunningSince = now;
   while (!PendingOpens.empty() &&
          now - PendingOpens.front().DeliveredAt >= Options.OpenTimeout) {
     PendingOpen it = std::move(PendingOpens.front());
@@ -508,11 +615,12 @@
   absl::erase_if(Flows, [&](auto &it) {
     Flow &flow = it.second;
     const Duration idle = now - flow.LastPacketAt;
-    const bool isClosed = flow.CallerClosed && flow.UpstreamClosed;
     const bool isOver = idle >= Options.FlowIdleTimeout ||
-                        (isClosed && idle >= ClosedFlowRetention);
-    if (isOver)
+                        (isClosed(flow) && idle >= ClosedFlowRetention);
+    if (isOver) {
       setBusy(flow, false, now);
+      ClosedFlows -= isClosed(flow) ? 1 : 0;
+    }
     return isOver;
   });
 }
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -118,6 +118,19 @@
   fields(archive, it.Load);
 }
 
+template <typename Archive> void fields(Archive &archive, FlowQuery &it) {
+  field(archive, it.Caller);
+  field(archive, it.Service);
+  field(archive, it.ServiceName);
+}
+
+template <typename Archive> void fields(Archive &archive, FlowNotHeld &it) {
+  field(archive, it.Caller);
+  field(archive, it.Service);
+  field(archive, it.IsCertain);
+  fields(archive, it.Load);
+}
+
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf) {
   return decodeVariant<DataMessage>(buf, FirstDataType, MaxDatagramBytes);
 }
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -257,10 +257,37 @@
   friend bool operator==(const FlowHeld &, const FlowHeld &) = default;
 };
 
+/// Balancer to agent, relay mode: asks whether the upstream of the agent holds
+/// a flow. The agent answers with FlowHeld or FlowNotHeld from its own flow
+/// table, so that a search for the holder of a flow delivers nothing to
+/// upstreams.
+struct FlowQuery {
+  Endpoint Caller;
+  Endpoint Service;
+  /// The agent of another service does not hold the flow.
+  ServiceNameHash ServiceName;
+  friend bool operator==(const FlowQuery &, const FlowQuery &) = default;
+};
+
+/// Agent to balancer, relay mode: the negative reply to a FlowQuery.
+struct FlowNotHeld {
+  Endpoint Caller;
+  Endpoint Service;
+  /// False if the agent does not know all flows of its upstream, because it
+  /// started after the upstream. Only the upstream itself can then tell, by
+  /// returning a packet of the flow.
+  bool IsCertain = true;
+  UpstreamLoad Load;
+  friend bool operator==(const FlowNotHeld &, const FlowNotHeld &) = default;
+};
+
+/// New messages are appended, because the position of a type is its number on
+/// the wire.
 using DataMessage =
     std::variant<CallerPacket, ForwardedPacket, ChainExhausted, ProbeMissed,
                  LoadReport, CallerReply, PeerLeaseQuery, PeerLeaseReply,
-                 RelayedPacket, ReturnedPacket, FlowHeld>;
+                 RelayedPacket, ReturnedPacket, FlowHeld, FlowQuery,
+                 FlowNotHeld>;
 
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf);
 
--- /dev/null
+++ b/Source/UnitTests/Relay/HolderSearchTest.cpp
@@ -0,0 +1,318 @@
+#include "RelayTestSupport.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace pistachio {
+namespace {
+
+/// A query without a reply is repeated within this time.
+constexpr Duration QueryInterval{50};
+
+/// Searches for the holders of flows in a service of \p upstreams members.
+class HolderSearchTest : public testing::Test {
+protected:
+  explicit HolderSearchTest(std::uint32_t upstreams = 40) : Table(upstreams) {}
+
+  RelayDecision routeFromCaller(const FlowPacket &packet) {
+    return Router->onCallerPacket(packet, *Table, Now);
+  }
+  RelayDecision replyNotHeld(const Endpoint &agent, bool isCertain = true,
+                             std::uint16_t caller = 1) {
+    return Router->onFlowNotHeld(
+        {callerEndpoint(caller), RouteAddress, isCertain, {}}, agent, *Table,
+        Now);
+  }
+  RelayDecision returnPacket(const Endpoint &agent,
+                             const FlowPacket &packet = dataPacket(1)) {
+    return Router->onReturnedPacket(packet, ReturnedPacket{}, agent, *Table,
+                                    Now);
+  }
+  std::optional<HolderConfirmation> confirmHolder(std::uint16_t caller,
+                                                  const Endpoint &agent,
+                                                  std::uint32_t sequence = 500,
+                                                  UpstreamLoad load = {}) {
+    return Router->onFlowHeld(
+        {callerEndpoint(caller), RouteAddress, sequence, load}, agent, Now);
+  }
+  /// Returns the decision that a poll makes on the flow of caller 1.
+  RelayDecision poll() {
+    std::vector<FlowDecision> all = Router->pollSearches(*Table, Now);
+    return all.empty() ? RelayDecision{.Action = RelayAction::Query}
+                       : std::move(all.front().Decision);
+  }
+  /// Replies NotHeld to each query until the search ends, except for agents in
+  /// \p silent. Returns the last decision. Queried has each query.
+  RelayDecision replyToAll(RelayDecision decision,
+                           const std::set<Endpoint> &silent = {}) {
+    for (int i = 0; i < 1000 && decision.Action == RelayAction::Query; ++i) {
+      const std::vector<QueryTarget> round = std::move(decision.Queries);
+      decision = {.Action = RelayAction::Query};
+      for (const QueryTarget &it : round) {
+        Queried.push_back(it.Agent);
+        if (silent.contains(it.Agent))
+          continue;
+        RelayDecision next = replyNotHeld(it.Agent);
+        if (next.Action != RelayAction::Query || !next.Queries.empty())
+          decision = std::move(next);
+      }
+      if (!round.empty())
+        ++Rounds;
+      if (decision.Action == RelayAction::Query && decision.Queries.empty()) {
+        Now += Duration(20);
+        decision = poll();
+      }
+    }
+    return decision;
+  }
+  std::set<Endpoint> distinctQueried() const {
+    return {Queried.begin(), Queried.end()};
+  }
+
+  TestTable Table;
+  TimePoint Now{Duration(1000000)};
+  std::unique_ptr<FlowRouter> Router = makeFlowRouter({.DataCentre = "x"});
+  std::vector<Endpoint> Queried;
+  int Rounds = 0;
+};
+
+// Guards against searches that query one agent at a time. With such a search,
+// callers waited 0.2 s for the reset of each ended flow after a loss of power.
+TEST_F(HolderSearchTest, AsksEveryCandidateOnceInFewRounds) {
+  const RelayDecision decision = replyToAll(routeFromCaller(dataPacket(1)));
+  EXPECT_EQ(decision.Action, RelayAction::Reset);
+  EXPECT_EQ(decision.Reason, RelayReason::Unknown);
+  EXPECT_EQ(Queried.size(), 40U);
+  EXPECT_EQ(distinctQueried().size(), 40U);
+  EXPECT_LE(Rounds, 4);
+  EXPECT_FALSE(Router->isSearching());
+}
+
+// Guards against a search that asks one candidate twice and skips another when
+// the order of the candidates changes during the search. Such a search reset
+// flows that an upstream held.
+TEST_F(HolderSearchTest, AsksEveryCandidateOnceWhenTheOrderChanges) {
+  for (std::uint16_t caller = 1; caller <= 30; ++caller) {
+    std::set<Endpoint> queried;
+    RelayDecision decision = routeFromCaller(dataPacket(caller));
+    while (decision.Action == RelayAction::Query) {
+      ASSERT_FALSE(decision.Queries.empty()) << "caller " << caller;
+      const std::vector<QueryTarget> round = decision.Queries;
+      for (const QueryTarget &it : round) {
+        EXPECT_TRUE(queried.insert(it.Agent).second);
+        // Another flow times out on an agent, which moves that agent to the end
+        // of the order, or gets an answer from one, which moves it back.
+        const auto other = static_cast<std::uint16_t>(1000 + queried.size());
+        routeFromCaller(firstPacket(other));
+        Now += FlowRouterOptions{}.AnswerTimeout;
+        routeFromCaller(firstPacket(other));
+        confirmHolder(2000, agentEndpoint(1 + (caller + other) % 40));
+        Now -= FlowRouterOptions{}.AnswerTimeout;
+        decision = replyNotHeld(it.Agent, true, caller);
+      }
+    }
+    EXPECT_EQ(queried.size(), 40U);
+    EXPECT_EQ(decision.Action, RelayAction::Reset);
+    Now += Duration(5000);
+  }
+}
+
+// Guards against a reset of a flow that may be held by an agent that has not
+// answered, and against waiting for that agent with the queries of the others.
+TEST_F(HolderSearchTest, NoResetWhileACandidateHasNotAnswered) {
+  const RelayDecision first = routeFromCaller(dataPacket(1));
+  const Endpoint silent = first.Queries.at(0).Agent;
+  const TimePoint start = Now;
+  // The agent is known to reply to queries, so it does not get the packet.
+  replyNotHeld(silent, true, 77);
+  const RelayDecision decision = replyToAll(first, {silent});
+  EXPECT_EQ(decision.Action, RelayAction::Drop);
+  EXPECT_EQ(decision.Reason, RelayReason::Unanswered);
+  EXPECT_EQ(distinctQueried().size(), 40U);
+  EXPECT_EQ(std::ranges::count(Queried, silent), 3);
+  EXPECT_LE(Now - start, 4 * QueryInterval);
+}
+
+// Guards against a search that begins again with the first agent whenever one
+// has not answered. On 200 agents beside a slow link, packets of an open flow
+// reached other upstreams for 2.3 s that way and its holder was not asked.
+TEST_F(HolderSearchTest, ResumedSearchAsksOnlyTheAgentsThatDidNotAnswer) {
+  const RelayDecision first = routeFromCaller(dataPacket(1));
+  const std::set<Endpoint> silent{first.Queries.at(0).Agent,
+                                  first.Queries.at(2).Agent};
+  for (const Endpoint &it : silent)
+    replyNotHeld(it, true, 77);
+  ASSERT_EQ(replyToAll(first, silent).Action, RelayAction::Drop);
+  Now += Duration(400);
+  const RelayDecision second = routeFromCaller(dataPacket(1));
+  ASSERT_EQ(second.Action, RelayAction::Query);
+  std::set<Endpoint> again;
+  for (const QueryTarget &it : second.Queries)
+    again.insert(it.Agent);
+  EXPECT_EQ(again, silent);
+  ASSERT_TRUE(confirmHolder(1, *silent.begin()));
+  EXPECT_EQ(routeFromCaller(dataPacket(1)).Agent, *silent.begin());
+}
+
+// Guards against delivering packets to upstreams that do not hold the flow: the
+// agents answer from their flow tables. An agent that does not know all flows
+// of its upstream gets the packet, after all others have answered.
+TEST_F(HolderSearchTest, OnlyUncertainAgentsGetThePacket) {
+  RelayDecision decision = routeFromCaller(dataPacket(1));
+  std::vector<Endpoint> uncertain;
+  while (decision.Action == RelayAction::Query) {
+    ASSERT_FALSE(decision.Queries.empty());
+    const std::vector<QueryTarget> round = decision.Queries;
+    for (const QueryTarget &it : round) {
+      const bool isCertain = it.Agent.Address % 4 != 0;
+      if (!isCertain)
+        uncertain.push_back(it.Agent);
+      decision = replyNotHeld(it.Agent, isCertain);
+    }
+  }
+  std::set<Endpoint> probed;
+  while (decision.Action == RelayAction::Forward) {
+    std::vector<Endpoint> round{decision.Agent};
+    round.insert(round.end(), decision.OtherAgents.begin(),
+                 decision.OtherAgents.end());
+    EXPECT_LE(round.size(), 8U);
+    EXPECT_TRUE(decision.NeedsConfirmation);
+    EXPECT_EQ(decision.Service, hashServiceName("a"));
+    for (const Endpoint &it : round) {
+      EXPECT_TRUE(probed.insert(it).second);
+      decision = returnPacket(it);
+    }
+  }
+  EXPECT_EQ(probed, std::set<Endpoint>(uncertain.begin(), uncertain.end()));
+  EXPECT_EQ(decision.Action, RelayAction::Reset);
+}
+
+// Guards against resetting flows during an upgrade: agents of earlier releases
+// ignore queries, so they are sent the packet.
+TEST_F(HolderSearchTest, AgentsThatKnowNoQueriesGetThePacket) {
+  const RelayDecision first = routeFromCaller(dataPacket(1));
+  const Endpoint old = first.Queries.at(1).Agent;
+  const RelayDecision decision = replyToAll(first, {old});
+  ASSERT_EQ(decision.Action, RelayAction::Forward);
+  EXPECT_EQ(decision.Agent, old);
+  EXPECT_TRUE(decision.OtherAgents.empty());
+  EXPECT_EQ(returnPacket(old).Action, RelayAction::Reset);
+}
+
+// Guards against forwarding further copies of a packet that the holder has
+// already received, and against a search that continues after the holder was
+// found.
+TEST_F(HolderSearchTest, RepliesAfterTheHolderIsFoundAreIgnored) {
+  const RelayDecision first = routeFromCaller(dataPacket(1));
+  ASSERT_GT(first.Queries.size(), 3U);
+  replyNotHeld(first.Queries[0].Agent);
+  ASSERT_TRUE(confirmHolder(1, first.Queries[1].Agent));
+  const RelayDecision late = replyNotHeld(first.Queries[2].Agent);
+  EXPECT_EQ(late.Action, RelayAction::Query);
+  EXPECT_TRUE(late.Queries.empty());
+  EXPECT_FALSE(Router->isSearching());
+  const RelayDecision next = routeFromCaller(dataPacket(1, 501));
+  EXPECT_EQ(next.Reason, RelayReason::Held);
+  EXPECT_EQ(next.Agent, first.Queries[1].Agent);
+}
+
+// Guards against asking all agents about a flow whose holder itself says that
+// it has lost it, for example because it crashed. Each packet of such a flow
+// cost a search through the whole service.
+TEST_F(HolderSearchTest, FlowThatItsHolderLostIsResetAtOnce) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  const FlowPacket packet = dataPacket(1, 501);
+  ASSERT_EQ(routeFromCaller(packet).Agent, agentEndpoint(5));
+  const RelayDecision decision = returnPacket(agentEndpoint(5), packet);
+  EXPECT_EQ(decision.Action, RelayAction::Reset);
+  EXPECT_EQ(decision.Reason, RelayReason::HolderLost);
+  // Further packets of the flow are on their way.
+  EXPECT_EQ(routeFromCaller(packet).Action, RelayAction::Reset);
+  EXPECT_FALSE(Router->isSearching());
+  // The caller may use its port for a new flow.
+  EXPECT_EQ(routeFromCaller(firstPacket(1)).Action, RelayAction::Forward);
+}
+
+// Guards against resetting a flow because an agent has lost another connection
+// with the same endpoints: the acknowledgement does not belong to that one.
+TEST_F(HolderSearchTest, FlowOfAnotherConnectionIsSearchedFor) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  const FlowPacket packet = dataPacket(1, 900'000'000);
+  const RelayDecision decision = returnPacket(agentEndpoint(5), packet);
+  ASSERT_EQ(decision.Action, RelayAction::Query);
+  for (const QueryTarget &it : decision.Queries)
+    EXPECT_NE(it.Agent, agentEndpoint(5));
+}
+
+// Guards against answering a caller's reset with another reset.
+TEST_F(HolderSearchTest, ResetOfALostFlowIsNotAnswered) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  FlowPacket packet = dataPacket(1, 501);
+  packet.Resets = true;
+  EXPECT_EQ(returnPacket(agentEndpoint(5), packet).Action, RelayAction::Drop);
+  EXPECT_EQ(routeFromCaller(packet).Action, RelayAction::Drop);
+}
+
+class LargeServiceTest : public HolderSearchTest {
+protected:
+  static constexpr std::uint32_t Upstreams = 400;
+  LargeServiceTest() : HolderSearchTest(Upstreams) {}
+};
+
+// Guards against a search that ends after 250 agents and resets a flow although
+// the agents beyond were never asked.
+TEST_F(LargeServiceTest, AsksAgentsBeyondTheFirst250) {
+  const RelayDecision decision = replyToAll(routeFromCaller(dataPacket(1)));
+  EXPECT_EQ(decision.Action, RelayAction::Reset);
+  // Upstream 100 belongs to another service.
+  EXPECT_EQ(distinctQueried().size(), Upstreams - 1);
+}
+
+// Load pattern: a balancer restarts in a service of hundreds of upstreams and
+// has to find the holders of all flows that the others have placed. Guards
+// against searches through half of the service, which take seconds on a link of
+// 2 Mbit/s.
+TEST_F(LargeServiceTest, SearchBeginsWithTheLikelyHolders) {
+  constexpr std::uint16_t Flows = 2000;
+  std::size_t withinFirstRound = 0;
+  std::size_t queries = 0;
+  for (std::uint16_t caller = 1; caller <= Flows; ++caller) {
+    const RelayDecision placed = routeFromCaller(firstPacket(caller));
+    ASSERT_EQ(placed.Action, RelayAction::Forward);
+    confirmHolder(caller, placed.Agent, 500, {0, 10, 2});
+    const auto restarted = makeFlowRouter({.DataCentre = "x"});
+    const RelayDecision search =
+        restarted->onCallerPacket(dataPacket(caller), *Table, Now);
+    queries += search.Queries.size();
+    withinFirstRound +=
+        std::ranges::any_of(search.Queries, [&](const QueryTarget &it) {
+          return it.Agent == placed.Agent;
+        });
+  }
+  EXPECT_GE(withinFirstRound, Flows * 99 / 100);
+  EXPECT_LE(queries, Flows * 5U);
+}
+
+// Guards against searches that fill the link of a small instance: a balancer
+// that restarts gets packets of hundreds of unknown flows at once.
+TEST_F(LargeServiceTest, QueriesOfManySearchesAreSpreadOverTime) {
+  std::size_t queries = 0;
+  const auto count = [&](const RelayDecision &it) {
+    queries += it.Queries.size();
+  };
+  for (std::uint16_t caller = 1; caller <= 500; ++caller)
+    count(routeFromCaller(dataPacket(caller)));
+  const TimePoint start = Now;
+  while (Now - start < Duration(1000)) {
+    Now += Duration(20);
+    for (const FlowDecision &it : Router->pollSearches(*Table, Now))
+      count(it.Decision);
+  }
+  const std::size_t rate = FlowRouterOptions{}.QueriesPerSecond;
+  EXPECT_GE(queries, rate / 2);
+  EXPECT_LE(queries, rate + 300);
+}
+
+} // namespace
+} // namespace pistachio
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -29,11 +29,15 @@
 
 class UpstreamRelayTest : public testing::Test {
 protected:
-  UpstreamRelayTest() {
+  UpstreamRelayTest() { startAgent(0); }
+
+  /// Starts an agent process, which knows nothing of an earlier one.
+  void startAgent(std::uint64_t startedAtMs) {
     UpstreamRelayOptions options;
     options.Service = "a";
     options.Upstream = Upstream;
     options.CallerPort = CallerPort;
+    options.StartedAtMs = startedAtMs;
     Relay = makeUpstreamRelay(options, Format);
   }
 
@@ -55,6 +59,13 @@
     Relay->onUpstreamPacket(TestPacketFormat::encode(packet), Now, output);
     return output;
   }
+  RelayOutput query(std::uint16_t caller, const std::string &service = "a") {
+    RelayOutput output;
+    Relay->onFlowQuery(
+        {callerEndpoint(caller), RouteAddress, hashServiceName(service)},
+        OtherBalancer, Now, output);
+    return output;
+  }
   RelayOutput tick() {
     RelayOutput output;
     Relay->tick(Now, output);
@@ -103,6 +114,23 @@
     return returned && returned->Reason == ReturnReason::Declined;
   }
 
+  /// Returns whether the agent is certain that its upstream does not hold the
+  /// flow, or nullopt if it says that the upstream does.
+  std::optional<bool> isCertainlyNotHeld(std::uint16_t caller) {
+    const RelayOutput output = query(caller);
+    EXPECT_FALSE(packetTo(output)) << "a query reached the upstream";
+    EXPECT_EQ(output.Datagrams.size(), 1U);
+    EXPECT_EQ(output.Datagrams[0].To, OtherBalancer);
+    if (const auto reply = messageOf<FlowNotHeld>(output))
+      return reply->IsCertain;
+    EXPECT_TRUE(messageOf<FlowHeld>(output));
+    return std::nullopt;
+  }
+  FlowPacket endOf(FlowPacket packet) {
+    packet.Ends = true;
+    return packet;
+  }
+
   TestPacketFormat Format;
   std::uint32_t ColdRate = UnlimitedColdRate;
   TimePoint Now{Duration(1000000)};
@@ -493,5 +521,129 @@
   EXPECT_EQ(Relay->load().BusyFlows, 0);
 }
 
+// Guards against declining flows for half a second at a healthy upstream,
+// because a caller gave up before the upstream had answered its first packet.
+TEST_F(UpstreamRelayTest, ResetOfAPendingFlowDoesNotBlameTheUpstream) {
+  report(makeReport());
+  relayPacket(firstPacket(1));
+  FlowPacket reset = dataPacket(1);
+  reset.Acknowledges = false;
+  reset.Resets = true;
+  relayPacket(reset);
+  Now += UpstreamRelayOptions{}.OpenTimeout;
+  EXPECT_FALSE(messageOf<ReturnedPacket>(tick()));
+  EXPECT_FALSE(isDeclined(relayPacket(firstPacket(2))));
+}
+
+// Guards against searches that do not find the holder, and against answers of
+// an agent whose address belonged to an upstream of another service.
+TEST_F(UpstreamRelayTest, QueriesAreAnsweredFromTheFlowTable) {
+  report(makeReport());
+  open(1);
+  const auto held = messageOf<FlowHeld>(query(1));
+  ASSERT_TRUE(held);
+  EXPECT_EQ(held->Caller, callerEndpoint(1));
+  EXPECT_EQ(held->Service, RouteAddress);
+  EXPECT_EQ(held->FirstSequence, 500U);
+  EXPECT_EQ(isCertainlyNotHeld(2), true);
+  const auto other = messageOf<FlowNotHeld>(query(1, "b"));
+  ASSERT_TRUE(other);
+  EXPECT_TRUE(other->IsCertain);
+}
+
+// Guards against a reset of an open flow: an agent that says "not held"
+// although it does not know the flow, or does not know whether the upstream
+// accepted it.
+TEST_F(UpstreamRelayTest, UnansweredFirstPacketIsNotCertainlyNotHeld) {
+  report(makeReport());
+  relayPacket(firstPacket(1));
+  EXPECT_EQ(isCertainlyNotHeld(1), false);
+  FlowPacket back = packetTo(relayPacket(dataPacket(2)))->Packet;
+  EXPECT_EQ(isCertainlyNotHeld(2), false);
+  back.Returned = true;
+  sendFromUpstream(back);
+  EXPECT_EQ(isCertainlyNotHeld(2), true);
+}
+
+struct RestartCase {
+  const char *Name;
+  /// Start of the agent and of the upstream, in milliseconds.
+  std::uint64_t AgentStart;
+  std::uint64_t UpstreamStart;
+  /// Sequence number of the first report.
+  std::uint64_t Sequence;
+  Duration RunningFor;
+  bool IsCertain;
+};
+
+class RestartedAgentTest : public UpstreamRelayTest,
+                           public testing::WithParamInterface<RestartCase> {};
+
+// Guards against a restarted agent that denies flows which its upstream has
+// opened before, and against agents that send packets to their upstream
+// although both started together, after a loss of power.
+TEST_P(RestartedAgentTest, KnowsAllFlowsOnlyIfItSawThemOpen) {
+  const RestartCase &it = GetParam();
+  startAgent(it.AgentStart);
+  tick();
+  EXPECT_EQ(isCertainlyNotHeld(1), false) << "before the first report";
+  Now += it.RunningFor;
+  report(makeReport(it.Sequence, it.UpstreamStart));
+  EXPECT_EQ(isCertainlyNotHeld(1), it.IsCertain);
+}
+
+const RestartCase RestartCases[] = {
+    {"UpstreamStartedLater", 50'000, 60'000, 1, Duration(0), true},
+    {"StartedTogether", 50'300, 50'000, 1, Duration(0), true},
+    {"AgentRestarted", 60'000, 50'000, 9, Duration(0), false},
+    {"AgentRestartedSoon", 50'600, 50'000, 1, Duration(0), false},
+    {"ClockSetBackBeforeTheRestart", 40'000, 50'000, 9, Duration(0), false},
+    {"RunningLongerThanAnyIdleFlow", 60'000, 50'000, 9,
+     UpstreamRelayOptions{}.FlowIdleTimeout, true},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, RestartedAgentTest,
+                         testing::ValuesIn(RestartCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+// Guards against denying a flow that the new process of an upstream accepted
+// before its first report.
+TEST_F(UpstreamRelayTest, FlowsBeforeTheFirstReportOfALifetimeAreUncertain) {
+  report(makeReport(7, 10));
+  open(1);
+  Now += Duration(6000);
+  report(makeReport(8, 10));
+  open(2);
+  Now += Duration(2000);
+  report(makeReport(1, 11));
+  EXPECT_EQ(isCertainlyNotHeld(1), true);
+  EXPECT_EQ(isCertainlyNotHeld(2), false);
+  // The upstream tells, by returning a packet or by answering it.
+  FlowPacket back = packetTo(relayPacket(dataPacket(2, 501)))->Packet;
+  back.Returned = true;
+  sendFromUpstream(back);
+  EXPECT_EQ(isCertainlyNotHeld(2), true);
+}
+
+// Guards against a reset for a caller that retransmits its last packet, and
+// against counting closed flows as load.
+TEST_F(UpstreamRelayTest, ClosedFlowsAreKnownForAWhileButAreNoLoad) {
+  report(makeReport());
+  open(1);
+  sendFromUpstream(endOf(fromUpstream(1, false, 501)));
+  EXPECT_EQ(Relay->load().Flows, 1);
+  relayPacket(endOf(dataPacket(1, 502)));
+  EXPECT_EQ(Relay->load().Flows, 0);
+  Now += Duration(10000);
+  report(makeReport(2));
+  tick();
+  EXPECT_EQ(isCertainlyNotHeld(1), std::nullopt);
+  Now += Duration(2000);
+  tick();
+  EXPECT_EQ(isCertainlyNotHeld(1), true);
+  EXPECT_EQ(Relay->load().Flows, 0);
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -62,7 +62,12 @@
       ReturnedPacket{ReturnReason::Declined, 4, 250, UpstreamLoad{2, 40, 5},
                      sampleBytes(31)},
       FlowHeld{
-          {0x64400007, 40001}, {0xC6120001, 443}, 99, UpstreamLoad{1, 2, 5}}};
+          {0x64400007, 40001}, {0xC6120001, 443}, 99, UpstreamLoad{1, 2, 5}},
+      FlowQuery{{0x64400007, 40001}, {0xC6120001, 443}, ServiceNameHash{77}},
+      FlowNotHeld{{0x64400007, 40001},
+                  {0xC6120001, 443},
+                  false,
+                  UpstreamLoad{1, 2, 5}}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
