Hold log entries back on congested links, and send nodes to voters

The leader sends entries again every 100 ms to a member that made no progress; behind 2 Mbit/s, copies of configurations of 46 kB and more queued up to 8 MB a link, half a minute, with the heartbeats behind them. Half of the nodes took their tables from these members, and at the start all nodes stay at the three seeds. Ruled out: a longer interval before entries are sent again, which would slow down all repairs. Nodes are told of voters only, and a connection to another instance moves to a voter once within 2 s.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -66,6 +66,10 @@
                                    "Rule changes accepted since the start");
   Gauge &RulesRefused = Registry->gauge("pistachio_control_rules_refused",
                                         "Rule changes refused since the start");
+  Gauge &SkippedMessages =
+      Registry->gauge("pistachio_control_peer_messages_skipped",
+                      "Log entries and snapshots held back because a link to a "
+                      "member was congested");
 };
 
 ControlDaemon::ControlDaemon(boost::asio::io_context &context,
@@ -249,6 +253,8 @@
   DaemonMetrics->Refused.set(static_cast<double>(Nodes->leasesRefused()));
   DaemonMetrics->Applied.set(static_cast<double>(Backend->appliedCount()));
   DaemonMetrics->RulesRefused.set(static_cast<double>(Backend->refusedCount()));
+  DaemonMetrics->SkippedMessages.set(
+      static_cast<double>(Links->skippedMessages()));
   if (absl::Status health = Control->health(); !health.ok())
     fail(std::move(health));
   if (StopDeadline)
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -178,10 +178,14 @@
 std::vector<Endpoint> GroupMembership::knownInstances() const {
   if (!isInGroup())
     return AdvertisedInstances;
-  std::vector<Endpoint> known;
+  // Nodes are sent to voters. An instance without a disk may be a small one
+  // that cannot carry the tables of many nodes; it serves those that find no
+  // voter.
+  std::vector<Endpoint> voters;
   for (const Member &it : Control.node().members())
-    known.push_back(it.Address);
-  return known;
+    if (it.Voter)
+      voters.push_back(it.Address);
+  return voters;
 }
 
 std::optional<Endpoint> GroupMembership::nextJoinTarget() {
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -48,8 +48,8 @@
   /// know any other instance: seeds outside the group and, while there is no
   /// leader, all members.
   std::vector<Endpoint> advertiseTargets() const;
-  /// Addresses of the group's members. If this instance is in no group, the
-  /// instances that have advertised their address to it.
+  /// Addresses of the group's voters, to which nodes connect. If this instance
+  /// is in no group, the instances that have advertised their address to it.
   std::vector<Endpoint> knownInstances() const;
   /// Returns the address to which the next join request should be sent, in
   /// turn. None if no other instance is known.
--- a/Source/ControlDaemon/PeerLinks.cpp
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -9,6 +9,19 @@
 namespace pistachio {
 namespace {
 
+/// A link with more bytes than this in its queue carries no log entries and no
+/// snapshot. The leader sends them again, so queueing the copies would only
+/// delay the heartbeats behind them: a link of 2 Mbit/s needs 0.5 s for this
+/// much.
+constexpr std::size_t MaxQueuedBytes = 128 * 1024;
+
+/// Returns whether the message carries log entries or a part of a snapshot.
+bool isBulk(const ConsensusMessage &message) {
+  if (const auto *append = std::get_if<AppendRequest>(&message))
+    return !append->Entries.empty();
+  return std::holds_alternative<SnapshotPart>(message);
+}
+
 bool isReply(const PeerMessage &message) {
   return std::holds_alternative<ForwardedApplyReply>(message) ||
          std::holds_alternative<ForwardedNodeReply>(message) ||
@@ -65,7 +78,27 @@
   return *link;
 }
 
+bool PeerLinks::isCongested(const Endpoint &to) {
+  const std::size_t queued = linkTo(to).queuedBytes();
+  const bool congested = queued > MaxQueuedBytes;
+  const bool changed = congested ? CongestedLinks.insert(to).second
+                                 : CongestedLinks.erase(to) > 0;
+  if (changed)
+    logEvent(congested ? LogLevel::Warning : LogLevel::Info,
+             congested ? "peer_link_congested" : "peer_link_cleared",
+             congested ? "log entries are held back until the queue is shorter"
+                       : "",
+             {{"member", toString(to)},
+              {"queued_bytes", std::to_string(queued)},
+              {"skipped_messages", std::to_string(SkippedMessages)}});
+  return congested;
+}
+
 void PeerLinks::send(const Endpoint &to, const ConsensusMessage &message) {
+  if (to.Port != 0 && isBulk(message) && isCongested(to)) {
+    ++SkippedMessages;
+    return;
+  }
   Bytes buf;
   if (absl::Status encoded = encodeConsensus(message, buf); !encoded.ok()) {
     logEvent(LogLevel::Error, "peer_message_too_large", encoded.ToString());
@@ -135,6 +168,11 @@
         "no reply from the leader before the deadline"));
 }
 
+std::size_t PeerLinks::queuedBytes(const Endpoint &to) const {
+  const auto it = Links.find(to);
+  return it == Links.end() ? 0 : it->second->queuedBytes();
+}
+
 void PeerLinks::connect(std::span<const Member> members, const Endpoint &self) {
   for (const Member &it : members)
     if (it.Address != self)
--- a/Source/ControlDaemon/PeerLinks.h
+++ b/Source/ControlDaemon/PeerLinks.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 
 namespace pistachio {
@@ -31,7 +32,8 @@
 
   absl::Status listen(const Endpoint &local);
   /// If \p to has no port, the message is sent on the connection whose message
-  /// is currently being handled.
+  /// is currently being handled. Log entries and snapshots are dropped while
+  /// the link is congested.
   void send(const Endpoint &to, const ConsensusMessage &message);
   /// Assigns the call id of \p message and sends it. \p done receives
   /// Unavailable if there is no connection, and DeadlineExceeded if no reply
@@ -39,6 +41,10 @@
   void call(const Endpoint &to, PeerMessage message, TimePoint deadline,
             ReplyHandler done);
   void tick(TimePoint now);
+  /// Bytes that wait to be sent to a member.
+  std::size_t queuedBytes(const Endpoint &to) const;
+  /// Messages that were dropped because a link was congested.
+  std::uint64_t skippedMessages() const { return SkippedMessages; }
   /// Opens connections to all of \p members except \p self in advance.
   /// Otherwise the first message of an election would be lost while its
   /// connection is being established.
@@ -56,6 +62,7 @@
   using SendBack = std::function<void(std::span<const std::byte>)>;
 
   TcpClient &linkTo(const Endpoint &to);
+  bool isCongested(const Endpoint &to);
   void onFrame(std::span<const std::byte> frame, const SendBack &sendBack);
   void onPeerMessage(PeerMessage message, const SendBack &sendBack);
 
@@ -63,8 +70,10 @@
   Handlers Notify;
   std::unique_ptr<TcpServer> Server;
   std::map<Endpoint, std::unique_ptr<TcpClient>> Links;
+  std::set<Endpoint> CongestedLinks;
   std::map<PeerCallId, PendingCall> PendingCalls;
   PeerCallId LastCallId;
+  std::uint64_t SkippedMessages = 0;
   const SendBack *CurrentSendBack = nullptr;
 };
 
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -91,13 +91,17 @@
   virtual bool isOpen() const = 0;
   /// Sends a frame. The frame is dropped if there is no connection.
   virtual void send(std::span<const std::byte> frame) = 0;
+  /// Bytes of frames that wait to be sent; 0 if there is no connection.
+  virtual std::size_t queuedBytes() const = 0;
   /// Closes the current connection and connects to the next server.
   virtual void reconnect() = 0;
   /// Replaces the configured servers. Takes effect at the next connection.
   virtual void setServers(std::vector<Endpoint> servers) = 0;
   /// Sets the servers that the current server has advertised. The next
   /// connection attempts try them first, in random order, and then the
-  /// configured servers.
+  /// configured servers. If the current server is not among them, the
+  /// connection moves to one of them after a random delay of at most 2 s. It
+  /// does so again only 10 s later, in case none of them can be reached.
   virtual void setAdvertisedServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <random>
 
 namespace pistachio {
@@ -25,6 +27,11 @@
 /// reply at all, so the client has to give up on it and try another one.
 constexpr Duration ConnectTimeout{200};
 
+/// Upper limit of the random delay before a connection moves to an advertised
+/// server. It spreads the connections of many nodes over time.
+constexpr Duration MaxMoveDelay{2000};
+constexpr Duration MoveInterval{10000};
+
 class AsioTcpClient : public TcpClient {
 public:
   AsioTcpClient(boost::asio::io_context &context, std::vector<Endpoint> servers,
@@ -44,6 +51,10 @@
       Shared->Connection->send(frame);
   }
 
+  std::size_t queuedBytes() const override {
+    return Shared->Connection ? Shared->Connection->queuedBytes() : 0;
+  }
+
   void reconnect() override {
     if (Shared->Connection)
       Shared->Connection->close();
@@ -59,6 +70,7 @@
     std::ranges::shuffle(Shared->Advertised, Shared->Random);
     Shared->rebuildServers();
     Shared->NextServer = 0;
+    Shared->moveIfNeeded();
   }
 
   void stop() override {
@@ -66,6 +78,7 @@
       return;
     Shared->Stopped = true;
     Shared->Timer.cancel();
+    Shared->MoveTimer.cancel();
     if (Shared->ConnectingSocket)
       Shared->ConnectingSocket->cancel();
     if (Shared->Connection)
@@ -79,9 +92,9 @@
   struct State : std::enable_shared_from_this<State> {
     State(boost::asio::io_context &context, std::vector<Endpoint> servers,
           TcpHandlers handlers)
-        : Context(context), Timer(context), Configured(std::move(servers)),
-          Servers(Configured), Handlers(std::move(handlers)),
-          Random(std::random_device{}()) {}
+        : Context(context), Timer(context), MoveTimer(context),
+          Configured(std::move(servers)), Servers(Configured),
+          Handlers(std::move(handlers)), Random(std::random_device{}()) {}
 
     void rebuildServers() {
       Servers = Advertised;
@@ -91,6 +104,25 @@
           });
     }
 
+    void moveIfNeeded() {
+      const auto now = std::chrono::steady_clock::now();
+      if (!Connection || Advertised.empty() ||
+          std::ranges::count(Advertised, CurrentServer) > 0 ||
+          (LastMove && now - *LastMove < MoveInterval))
+        return;
+      LastMove = now;
+      std::uniform_int_distribution<Duration::rep> delay(0,
+                                                         MaxMoveDelay.count());
+      MoveTimer.expires_after(Duration(delay(Random)));
+      MoveTimer.async_wait([self = shared_from_this(),
+                            moved = std::weak_ptr(Connection)](error_code ec) {
+        // The connection may have been replaced meanwhile.
+        const auto connection = moved.lock();
+        if (!ec && connection && connection == self->Connection)
+          connection->close();
+      });
+    }
+
     void connect() {
       if (Stopped || Servers.empty())
         return;
@@ -104,16 +136,18 @@
         if (!ec)
           socket->close(ec);
       });
-      socket->async_connect(toAsio<tcp>(server),
-                            [self = shared_from_this(), socket](error_code ec) {
-                              self->Timer.cancel();
-                              self->ConnectingSocket.reset();
-                              if (self->Stopped)
-                                return;
-                              if (ec || !socket->is_open())
-                                return self->scheduleConnect();
-                              self->open(std::move(*socket));
-                            });
+      socket->async_connect(
+          toAsio<tcp>(server),
+          [self = shared_from_this(), socket, server](error_code ec) {
+            self->Timer.cancel();
+            self->ConnectingSocket.reset();
+            if (self->Stopped)
+              return;
+            if (ec || !socket->is_open())
+              return self->scheduleConnect();
+            self->CurrentServer = server;
+            self->open(std::move(*socket));
+          });
     }
 
     void open(tcp::socket socket) {
@@ -159,6 +193,7 @@
 
     boost::asio::io_context &Context;
     boost::asio::steady_timer Timer;
+    boost::asio::steady_timer MoveTimer;
     std::vector<Endpoint> Configured;
     std::vector<Endpoint> Advertised;
     /// Advertised and then configured servers, in the order of the attempts.
@@ -167,6 +202,9 @@
     std::minstd_rand Random;
     std::shared_ptr<tcp::socket> ConnectingSocket;
     std::shared_ptr<TcpConnection> Connection;
+    /// Server of Connection.
+    Endpoint CurrentServer;
+    std::optional<std::chrono::steady_clock::time_point> LastMove;
     std::size_t NextServer = 0;
     std::uint64_t LastId = 0;
     Duration BackOff = InitialBackOff;
--- a/Source/Core/Runtime/TcpConnection.h
+++ b/Source/Core/Runtime/TcpConnection.h
@@ -23,6 +23,8 @@
 
   void start();
   void send(std::span<const std::byte> frame);
+  /// Bytes that the system has not accepted for sending yet.
+  std::size_t queuedBytes() const { return QueuedBytes; }
   /// Closes the socket. The close handler is invoked once, asynchronously by
   /// the io_context and never from within this call.
   void close();
--- a/Source/UnitTests/Runtime/TcpTest.cpp
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -100,6 +100,51 @@
   EXPECT_TRUE(runUntil(context, [&] { return configured.Opened == 2; }));
 }
 
+// Load pattern: hundreds of nodes start with the same three seeds. Guards
+// against nodes that stay at a seed, which may be a small instance, after it
+// has named the servers that should serve them.
+TEST(TcpTest, ConnectionMovesToAnAdvertisedServer) {
+  boost::asio::io_context context;
+  EchoServer seed(context);
+  EchoServer advertised(context);
+  int opened = 0;
+  const auto client = connectTcp(
+      context, {seed.Tcp->endpoint()},
+      {[&](ConnectionId) { ++opened; },
+       [](ConnectionId, std::span<const std::byte>) {}, [](ConnectionId) {}});
+  ASSERT_TRUE(
+      runUntil(context, [&] { return seed.Opened == 1 && opened == 1; }));
+  client->setAdvertisedServers({advertised.Tcp->endpoint()});
+  EXPECT_TRUE(runUntil(
+      context, [&] { return advertised.Opened == 1 && seed.Closed == 1; }));
+  // A server that advertises itself keeps its connection.
+  client->setAdvertisedServers(
+      {seed.Tcp->endpoint(), advertised.Tcp->endpoint()});
+  context.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(seed.Opened, 1);
+}
+
+// Guards against a node that leaves a working server again and again because
+// the advertised ones cannot be reached.
+TEST(TcpTest, ConnectionMovesOnceIfTheAdvertisedServersAreGone) {
+  boost::asio::io_context context;
+  EchoServer seed(context);
+  EchoServer gone(context);
+  const Endpoint goneEndpoint = gone.Tcp->endpoint();
+  gone.Tcp->stop();
+  int opened = 0;
+  const auto client = connectTcp(
+      context, {seed.Tcp->endpoint()},
+      {[&](ConnectionId) { ++opened; },
+       [](ConnectionId, std::span<const std::byte>) {}, [](ConnectionId) {}});
+  ASSERT_TRUE(runUntil(context, [&] { return opened == 1; }));
+  client->setAdvertisedServers({goneEndpoint});
+  ASSERT_TRUE(runUntil(context, [&] { return opened == 2; }));
+  client->setAdvertisedServers({goneEndpoint});
+  context.run_for(std::chrono::milliseconds(2500));
+  EXPECT_EQ(opened, 2);
+}
+
 // Guards against a client that waits for a server that does not respond at all,
 // for example because it is powered off, instead of trying the next one.
 TEST(TcpTest, UnresponsiveServerIsAbandoned) {
