Send packets to a found holder with the service of its agent

The entry of a flow whose holder a search had found carried no service, so the agent refused its packets, and the balancer took this for the loss of the flow. A search that began at a confirmed flow also took the next holder for a second one. Ruled out: wrong answers of agents; in the log all returned packets had the delay of a refused service. Change: a holder carries its service, from the search or from the table. A refused service is no loss. Measured: HolderSearchTest UnexpectedHolderGetsPacketsWithItsService, RefusalOfTheServiceIsNoLoss and the new lines of RepliesAfterTheHolderIsFoundAreIgnored and FlowOfAnotherConnectionIsSearchedFor.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -56,6 +56,9 @@
 struct Holder {
   Endpoint Agent;
   std::uint32_t FirstSequence = 0;
+  /// Not set if the agent reported itself as the holder of a flow that this
+  /// balancer has neither placed nor searched for.
+  std::optional<ServiceNameHash> Service;
 };
 
 struct FlowEntry {
@@ -64,7 +67,6 @@
   Holder Current;
   /// Another agent whose upstream accepted a copy of the first packet.
   Holder Alternate;
-  ServiceNameHash Service;
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
   bool Confirmed = false;
   /// The flow has an entry in FlowRouterImpl::Searches.
@@ -100,6 +102,46 @@
          packet.Acknowledgement - holder.FirstSequence <= SequenceWindowBytes;
 }
 
+/// Services whose upstreams may hold flows of the route, in the order in which
+/// they are searched.
+std::vector<ServiceId> servicesOf(const RouteRecord &route) {
+  std::vector<ServiceId> services;
+  for (const RouteShare &it : route.Shares)
+    services.push_back(it.Service);
+  services.insert(services.end(), route.FormerServices.begin(),
+                  route.FormerServices.end());
+  return services;
+}
+
+/// Returns the service of the route to which the agent belongs.
+std::optional<ServiceNameHash> serviceOfMember(const Endpoint &agent,
+                                               const RouteRecord &route,
+                                               const ServiceTable &table) {
+  for (const ServiceId id : servicesOf(route)) {
+    const Service *service = table.find(id);
+    if (service == nullptr)
+      continue;
+    for (const auto members : {service->members(), table.withdrawnMembers(id)})
+      if (std::ranges::find(members, agent, &ServiceMember::Address) !=
+          members.end())
+        return hashServiceName(service->name());
+  }
+  return std::nullopt;
+}
+
+/// Sets the services of the holders. A holder that belongs to no service of the
+/// route is forgotten.
+void resolveServices(FlowEntry &entry, const RouteRecord &route,
+                     const ServiceTable &table) {
+  for (Holder *it : {&entry.Current, &entry.Alternate}) {
+    if (it->Agent.Port == 0 || it->Service)
+      continue;
+    it->Service = serviceOfMember(it->Agent, route, table);
+    if (!it->Service)
+      *it = {};
+  }
+}
+
 class FlowRouterImpl final : public FlowRouter {
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
@@ -141,6 +183,9 @@
   RelayDecision advanceSearch(FlowEntry &entry, const FlowEndpoints &flow,
                               const RouteRecord &route,
                               const ServiceTable &table, TimePoint now);
+  /// Returns the search for the holder of the flow, a new one if there is none.
+  HolderSearch &beginSearch(FlowEntry &entry, const FlowEndpoints &flow,
+                            TimePoint now);
   void endSearch(FlowEntry &entry, const FlowEndpoints &flow);
   SearchCandidates candidates(const FlowEndpoints &flow,
                               const RouteRecord &route,
@@ -187,7 +232,7 @@
   return {.Action = RelayAction::Forward,
           .Reason = reason,
           .Agent = entry.Current.Agent,
-          .Service = entry.Service,
+          .Service = entry.Current.Service.value_or(ServiceNameHash{}),
           .Attempt = entry.Attempt,
           .NeedsConfirmation = !entry.Confirmed,
           .ColdMilliflowsPerSecond = entry.ColdMilliflowsPerSecond};
@@ -267,6 +312,7 @@
     return {.Action = packet.Resets ? RelayAction::Drop : RelayAction::Reset,
             .Reason = RelayReason::Unknown};
   entry.LostAt.reset();
+  resolveServices(entry, *route, table);
   if (entry.Current.Agent.Port != 0 && !entry.Searching) {
     // Two upstreams may have accepted copies of the first packet. The
     // acknowledgement shows which one's sequence numbers the caller uses.
@@ -380,8 +426,7 @@
     return deferFirstPacket(entry, flow, *service, now);
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
     entry.Alternate = entry.Current;
-  entry.Current = {best->Address, 0};
-  entry.Service = hashServiceName(service->name());
+  entry.Current = {best->Address, 0, hashServiceName(service->name())};
   entry.ColdMilliflowsPerSecond = share->ColdMilliflowsPerSecond;
   entry.Confirmed = false;
   endSearch(entry, flow);
@@ -418,14 +463,9 @@
                                             const ServiceTable &table,
                                             TimePoint now) const {
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
-  std::vector<ServiceId> services;
-  for (const RouteShare &it : route.Shares)
-    services.push_back(it.Service);
-  services.insert(services.end(), route.FormerServices.begin(),
-                  route.FormerServices.end());
   SearchCandidates found;
   std::vector<HolderCandidate> silent;
-  for (const ServiceId id : services) {
+  for (const ServiceId id : servicesOf(route)) {
     const Service *service = table.find(id);
     if (service == nullptr)
       continue;
@@ -457,6 +497,18 @@
   return static_cast<std::size_t>(QueryTokens);
 }
 
+HolderSearch &FlowRouterImpl::beginSearch(FlowEntry &entry,
+                                          const FlowEndpoints &flow,
+                                          TimePoint now) {
+  if (!entry.Searching) {
+    entry.Searching = true;
+    entry.ResolvingSince = now;
+    entry.Current = {};
+    entry.Confirmed = false;
+  }
+  return Searches.try_emplace(flow, now).first->second;
+}
+
 void FlowRouterImpl::endSearch(FlowEntry &entry, const FlowEndpoints &flow) {
   if (entry.Searching)
     Searches.erase(flow);
@@ -467,13 +519,7 @@
                                      const FlowEndpoints &flow,
                                      const RouteRecord &route,
                                      const ServiceTable &table, TimePoint now) {
-  if (!entry.Searching) {
-    entry.Searching = true;
-    entry.ResolvingSince = now;
-    entry.Current = {};
-    Searches.try_emplace(flow, now);
-  }
-  HolderSearch &it = Searches.at(flow);
+  HolderSearch &it = beginSearch(entry, flow, now);
   if (it.isFinished())
     it.resume();
   return advanceSearch(entry, flow, route, table, now);
@@ -574,6 +620,7 @@
     return {.Action = RelayAction::Drop, .Reason = RelayReason::Unknown};
   FlowEntry &entry = findOrInsert(flow, now);
   const auto visitedAgents = static_cast<std::uint8_t>(message.Attempt + 1);
+  resolveServices(entry, *route, table);
   const bool isFromHolder = entry.Current.Agent == agent;
   // The flow has been placed or found on another agent in the meantime.
   if (entry.Current.Agent.Port != 0 && !isFromHolder)
@@ -591,16 +638,12 @@
     return forwardToHolder(entry, visitedAgents);
   }
   RelayDecision decision;
-  if (isFromHolder && acceptedBy(entry.Current, packet)) {
+  // An agent of another service gives packets back with a delay.
+  const bool isRefused = message.RetryAfterMs > 0;
+  if (isFromHolder && !isRefused && acceptedBy(entry.Current, packet)) {
     decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
   } else {
-    if (!entry.Searching) {
-      entry.Searching = true;
-      entry.ResolvingSince = now;
-      entry.Current = {};
-      Searches.try_emplace(flow, now);
-    }
-    Searches.at(flow).onNotHeld(agent, true);
+    beginSearch(entry, flow, now).onNotHeld(agent, true);
     decision = search(entry, flow, *route, table, now);
   }
   // A reset is sent only to a caller that waits for an answer, not in reply to
@@ -616,7 +659,7 @@
   recordAnswer(agent, message.Load);
   const FlowEndpoints flow{message.Caller, message.Service};
   FlowEntry &entry = findOrInsert(flow, now);
-  const Holder holder{agent, message.FirstSequence};
+  Holder holder{agent, message.FirstSequence, std::nullopt};
   if (entry.Confirmed && entry.Current.Agent != agent) {
     entry.Alternate = holder;
     return std::nullopt;
@@ -626,6 +669,10 @@
   if (entry.ResolvingSince)
     found = {entry.Searching, now - *entry.ResolvingSince};
   entry.ResolvingSince.reset();
+  if (entry.Searching)
+    holder.Service = Searches.at(flow).serviceOf(agent);
+  else if (entry.Current.Agent == agent)
+    holder.Service = entry.Current.Service;
   entry.Current = holder;
   entry.DeferredSince.reset();
   entry.Confirmed = true;
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -144,6 +144,14 @@
   });
 }
 
+std::optional<ServiceNameHash>
+HolderSearch::serviceOf(const Endpoint &agent) const {
+  const auto it = Inquiries.find(agent);
+  if (it == Inquiries.end() || it->second.Queries == 0)
+    return std::nullopt;
+  return it->second.Agent.Service;
+}
+
 std::vector<Endpoint> HolderSearch::unresponsive() const {
   std::vector<Endpoint> all;
   for (const auto &[agent, it] : Inquiries)
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -62,6 +63,8 @@
   void resume();
   /// Agents that have not replied in time.
   std::vector<Endpoint> unresponsive() const;
+  /// Returns the service for which the agent was queried, if it was.
+  std::optional<ServiceNameHash> serviceOf(const Endpoint &agent) const;
   bool isFinished() const { return Finished; }
   TimePoint startedAt() const { return StartedAt; }
 
--- a/Source/UnitTests/Relay/HolderSearchTest.cpp
+++ b/Source/UnitTests/Relay/HolderSearchTest.cpp
@@ -215,6 +215,31 @@
   const RelayDecision next = routeFromCaller(dataPacket(1, 501));
   EXPECT_EQ(next.Reason, RelayReason::Held);
   EXPECT_EQ(next.Agent, first.Queries[1].Agent);
+  EXPECT_EQ(next.Service, hashServiceName("a"));
+}
+
+// Guards against packets without a service, which every agent gives back: a
+// balancer that has restarted learns of a holder before it has searched for it.
+TEST_F(HolderSearchTest, UnexpectedHolderGetsPacketsWithItsService) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  EXPECT_EQ(routeFromCaller(dataPacket(1, 501)).Service, hashServiceName("a"));
+  // An agent that is not among those of the route is no holder.
+  confirmHolder(2, agentEndpoint(100), 500);
+  EXPECT_EQ(routeFromCaller(dataPacket(2, 501)).Action, RelayAction::Query);
+}
+
+// Guards against a reset because an agent refused a packet for the service that
+// it names: that says nothing about the flow.
+TEST_F(HolderSearchTest, RefusalOfTheServiceIsNoLoss) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  ReturnedPacket message;
+  message.Reason = ReturnReason::NotHeld;
+  message.RetryAfterMs = 2000;
+  EXPECT_EQ(Router
+                ->onReturnedPacket(dataPacket(1, 501), message,
+                                   agentEndpoint(5), *Table, Now)
+                .Action,
+            RelayAction::Query);
 }
 
 // Guards against asking all agents about a flow whose holder itself says that
@@ -243,6 +268,10 @@
   ASSERT_EQ(decision.Action, RelayAction::Query);
   for (const QueryTarget &it : decision.Queries)
     EXPECT_NE(it.Agent, agentEndpoint(5));
+  // The search ends with the holder that it finds.
+  ASSERT_TRUE(confirmHolder(1, decision.Queries[0].Agent, 899'999'999));
+  EXPECT_FALSE(Router->isSearching());
+  EXPECT_EQ(routeFromCaller(packet).Agent, decision.Queries[0].Agent);
 }
 
 // Guards against answering a caller's reset with another reset.
