--- a/Source/UnitTests/Control/RoutingTest.cpp
+++ b/Source/UnitTests/Control/RoutingTest.cpp
@@ -140,5 +140,41 @@
         ChangeCase{"BackAndOutAgain", {TakeOut, BringBack, TakeOut}, true}),
     [](const auto &it) { return std::string(it.param.Name); });
 
+// Load pattern: a configuration grows by 1,400 routes while 500 upstreams are
+// replaced. Guards against an update to a node that exceeds what is sent at
+// once (256 KiB) and is then paced at 10 KiB/s, so that it is in force too
+// late.
+TEST_F(RoutingTest, LargeRoutingReachesANodeAtOnce) {
+  constexpr std::uint64_t BurstBytes = 256 * 1024;
+  constexpr int Routes = 1400;
+  constexpr std::uint32_t Upstreams = 500;
+  ASSERT_EQ(commitOperation(makeRouting(6, "alpha weight 1"), "routing-6"),
+            Code::Applied);
+  for (std::uint32_t machine = 1; machine <= Upstreams; ++machine)
+    Harness.commit(UpstreamJoined{"alpha", "x", "x", "machine",
+                                  Endpoint{machine, 1}, Incarnation{1}, 5});
+  const NodeTable before = Harness.makeUpToDateNode();
+  ApplyRouting routing = makeRouting(7, "alpha weight 1");
+  for (int n = 0; n < Routes; ++n)
+    routing.Lines +=
+        "route r-" + std::to_string(n) + " address 10.31." +
+        std::to_string(n / 250) + "." + std::to_string(n % 250) +
+        ":8443 to alpha weight 90 and beta weight 10 # asked by Tiina\n";
+  ASSERT_EQ(commitOperation(routing, "routing-7"), Code::Applied)
+      << Harness.State->findResult("routing-7")->Text;
+  for (std::uint32_t machine = 1; machine <= Upstreams; ++machine)
+    Harness.commit(UpstreamJoined{"alpha", "x", "x", "machine",
+                                  Endpoint{machine, 1}, Incarnation{2}, 5});
+  std::uint64_t bytes = 0;
+  for (const TableUpdate &it :
+       Harness.State->updatesSince(before.AppliedRevision)) {
+    Bytes buf;
+    ASSERT_TRUE(encodeNode(it, buf).ok());
+    bytes += buf.size();
+  }
+  EXPECT_GE(bytes, Routes * 10U + Upstreams * 10U);
+  EXPECT_LE(bytes, BurstBytes / 2);
+}
+
 } // namespace
 } // namespace pistachio
