--- a/Source/UnitTests/Fuzz/FuzzMain.cpp
+++ b/Source/UnitTests/Fuzz/FuzzMain.cpp
@@ -2,7 +2,12 @@
 
 #include <cstdlib>
 
+#ifndef PISTACHIO_FUZZ_TARGET
+#define PISTACHIO_FUZZ_TARGET "data"
+#endif
+
 /// Entry point of libFuzzer. The target is set when the program is compiled.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer defines the name.
 extern "C" int LLVMFuzzerTestOneInput(const unsigned char *data,
                                       std::size_t size) {
   static const pistachio::FuzzTarget *target =
