Share datagrams among the queries of many searches

Cause: one query for each flow and agent, at most 1,000 a second, lets the callers of lost flows wait after a loss of power: 40 flows and 200 agents are 8,000 queries for each balancer, 8 s. Ruled out: a higher limit alone, which fills a link of 2 Mbit/s. Change: a query and its negative reply carry up to 64 flows. QueryBatcher sends at once while few datagrams are sent (1,500 a second, 256 at once); beyond that queries to one agent share a datagram. A query is repeated after 100 ms, as it may wait.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -36,7 +36,7 @@
         Returned(registry.counter("pistachio_balancer_packets_returned_total",
                                   "Packets that agents gave back")),
         Queries(registry.counter("pistachio_balancer_queries_total",
-                                 "Queries sent in searches for holders")),
+                                 "Datagrams with queries for holders")),
         Flows(registry.gauge("pistachio_balancer_flows", "Flows remembered")),
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
@@ -181,11 +181,12 @@
     return onReturnedPacket(std::move(*returned), from);
   if (const auto *held = std::get_if<FlowHeld>(&*message))
     return onFlowHeld(*held, from);
-  if (const auto *notHeld = std::get_if<FlowNotHeld>(&*message)) {
-    const FlowEndpoints flow{notHeld->Caller, notHeld->Service};
-    return applyToKeptPacket(
-        Router->onFlowNotHeld(*notHeld, from, *Control->table(), steadyNow()),
-        flow);
+  if (const auto *notHeld = std::get_if<FlowsNotHeld>(&*message)) {
+    for (const FlowNotHeld &it : notHeld->Flows)
+      applyToKeptPacket(Router->onFlowNotHeld(it, notHeld->Load, from,
+                                              *Control->table(), steadyNow()),
+                        it.Flow);
+    return;
   }
   Instruments->BadPackets.add();
 }
@@ -299,20 +300,25 @@
 
 void RelayBalancer::sendQueries(const RelayDecision &decision,
                                 const FlowEndpoints &flow) {
-  for (const QueryTarget &it : decision.Queries) {
+  for (const QueryTarget &it : decision.Queries)
+    Queries.add(flow, it);
+  sendWaitingQueries();
+  if (!SearchTimer)
+    SearchTimer =
+        startTimer(Context, SearchPollInterval, [this] { pollSearches(); });
+}
+
+void RelayBalancer::sendWaitingQueries() {
+  for (QueryBatcher::Batch &it : Queries.take(steadyNow())) {
     SendBuffer.clear();
-    const absl::Status encoded = encodeData(
-        FlowQuery{flow.Caller, flow.Service, it.Service}, SendBuffer);
+    const absl::Status encoded = encodeData(std::move(it.Query), SendBuffer);
     if (!encoded.ok()) {
       logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
-      return;
+      continue;
     }
     AgentSocket->send(SendBuffer, it.Agent);
     Instruments->Queries.add();
   }
-  if (!SearchTimer)
-    SearchTimer =
-        startTimer(Context, SearchPollInterval, [this] { pollSearches(); });
 }
 
 void RelayBalancer::applyToKeptPacket(const RelayDecision &decision,
@@ -331,7 +337,8 @@
 }
 
 void RelayBalancer::pollSearches() {
-  if (!Router->isSearching()) {
+  sendWaitingQueries();
+  if (!Router->isSearching() && Queries.isEmpty()) {
     SearchTimer.reset();
     return;
   }
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -35,6 +35,7 @@
   void sendToAgents(const RelayDecision &decision,
                     std::span<const std::byte> packet);
   void sendQueries(const RelayDecision &decision, const FlowEndpoints &flow);
+  void sendWaitingQueries();
   /// Applies a decision of a search to the packet that was kept for it.
   void applyToKeptPacket(const RelayDecision &decision,
                          const FlowEndpoints &flow);
@@ -54,6 +55,7 @@
   DeferredPackets Deferred;
   /// Packets of flows whose holder is searched for.
   DeferredPackets KeptForSearch;
+  QueryBatcher Queries;
   std::unique_ptr<MetricsRegistry> Registry;
   std::unique_ptr<Metrics> Instruments;
   std::unique_ptr<UdpSocket> CallerSocket;
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -29,10 +29,6 @@
 /// is short all the same.
 constexpr std::size_t MaxMembersOfOneChoice = 16;
 
-/// Capacity of the token bucket that limits queries: several searches through a
-/// service of the largest deployment.
-constexpr double QueryBurst = 256;
-
 /// A search that found no holder because agents did not reply is kept this
 /// long, so that the next packet of the flow asks only those again.
 constexpr Duration SearchRetention{5000};
@@ -158,7 +154,8 @@
   std::optional<HolderConfirmation> onFlowHeld(const FlowHeld &message,
                                                const Endpoint &agent,
                                                TimePoint now) override;
-  RelayDecision onFlowNotHeld(const FlowNotHeld &message, const Endpoint &agent,
+  RelayDecision onFlowNotHeld(const FlowNotHeld &message,
+                              const UpstreamLoad &load, const Endpoint &agent,
                               const ServiceTable &table,
                               TimePoint now) override;
   std::vector<FlowDecision> pollSearches(const ServiceTable &table,
@@ -195,7 +192,6 @@
                                     const Service &service,
                                     DataCentreId localDataCentre,
                                     TimePoint now) const;
-  std::size_t takeQueryBudget(TimePoint now);
   static const RouteShare *chooseShare(const FlowEndpoints &flow,
                                        const RouteRecord &route);
   double loadOf(const ServiceMember &member,
@@ -222,8 +218,6 @@
   absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
       Searches;
   absl::flat_hash_map<Endpoint, AgentStatus, std::hash<Endpoint>> Agents;
-  double QueryTokens = QueryBurst;
-  TimePoint QueryTokensAt{};
   TimePoint LastSweep{};
 };
 
@@ -488,15 +482,6 @@
   return found;
 }
 
-std::size_t FlowRouterImpl::takeQueryBudget(TimePoint now) {
-  if (QueryTokensAt != TimePoint{})
-    QueryTokens =
-        std::min(QueryBurst, QueryTokens + toSeconds(now - QueryTokensAt) *
-                                               Options.QueriesPerSecond);
-  QueryTokensAt = now;
-  return static_cast<std::size_t>(QueryTokens);
-}
-
 HolderSearch &FlowRouterImpl::beginSearch(FlowEntry &entry,
                                           const FlowEndpoints &flow,
                                           TimePoint now) {
@@ -536,15 +521,13 @@
   if (!search.canAdvance(now))
     return decision;
   const SearchCandidates agents = candidates(flow, route, table, now);
-  const SearchStep step =
-      search.advance(agents.All, agents.FirstRound, takeQueryBudget(now), now);
+  const SearchStep step = search.advance(agents.All, agents.FirstRound, now);
   for (const Endpoint &it : search.unresponsive())
     recordTimeout(it, now);
   switch (step.Action) {
   case SearchStep::Kind::Wait:
     return decision;
   case SearchStep::Kind::Query:
-    QueryTokens -= static_cast<double>(step.Agents.size());
     for (const HolderCandidate &it : step.Agents)
       decision.Queries.push_back({it.Agent, it.Service});
     return decision;
@@ -567,11 +550,12 @@
 }
 
 RelayDecision FlowRouterImpl::onFlowNotHeld(const FlowNotHeld &message,
+                                            const UpstreamLoad &load,
                                             const Endpoint &agent,
                                             const ServiceTable &table,
                                             TimePoint now) {
-  recordAnswer(agent, message.Load).AnswersQueries = true;
-  const FlowEndpoints flow{message.Caller, message.Service};
+  recordAnswer(agent, load).AnswersQueries = true;
+  const FlowEndpoints &flow = message.Flow;
   const auto it = Searches.find(flow);
   if (it == Searches.end())
     return {.Action = RelayAction::Query, .Reason = RelayReason::Search};
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 /// A query without a reply for this long is repeated, because a datagram may be
-/// lost. The value is several round trips between data centres.
-constexpr Duration QueryTimeout{50};
+/// lost. The value covers the time that a query may wait for others to the same
+/// agent, see QueryBatcher.
+constexpr Duration QueryTimeout{100};
 /// A candidate is unresponsive after this many queries without a reply.
 constexpr std::uint8_t MaxQueries = 3;
 /// An agent that was sent the packet itself is unresponsive after this long.
@@ -73,8 +74,7 @@
 }
 
 SearchStep HolderSearch::advance(std::span<const HolderCandidate> candidates,
-                                 std::size_t firstRound, std::size_t maxQueries,
-                                 TimePoint now) {
+                                 std::size_t firstRound, TimePoint now) {
   if (!canAdvance(now))
     return {};
   for (const HolderCandidate &it : candidates)
@@ -88,19 +88,16 @@
     step.Agents.push_back(it.Agent);
   };
   for (auto &[agent, it] : Inquiries)
-    if (step.Agents.size() < maxQueries && isDue(it, now))
+    if (isDue(it, now))
       query(it);
   const std::size_t limit =
       std::min(RoundSize == 0 ? firstRound : RoundSize * 2, MaxRoundSize);
   std::size_t fresh = 0;
-  bool hasMore = false;
   for (const HolderCandidate &it : candidates) {
     if (Inquiries.contains(it.Agent))
       continue;
-    if (fresh == limit || step.Agents.size() >= maxQueries) {
-      hasMore = true;
+    if (fresh == limit)
       break;
-    }
     Inquiry &inquiry = Inquiries[it.Agent];
     inquiry.Agent = it;
     query(inquiry);
@@ -112,7 +109,7 @@
     step.Action = SearchStep::Kind::Query;
     return step;
   }
-  if (hasMore || hasStatus(State::Queried) || hasStatus(State::Probed))
+  if (hasStatus(State::Queried) || hasStatus(State::Probed))
     return step;
   if (hasStatus(State::Unsure))
     return probeUnsure(now);
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -53,11 +53,9 @@
   /// Returns whether advance() may return anything but Wait.
   bool canAdvance(TimePoint now) const;
   /// Returns the next step. \p candidates are all agents that may hold the
-  /// flow, most likely ones first; it may differ from call to call. At most
-  /// \p maxQueries queries are made.
+  /// flow, most likely ones first; it may differ from call to call.
   SearchStep advance(std::span<const HolderCandidate> candidates,
-                     std::size_t firstRound, std::size_t maxQueries,
-                     TimePoint now);
+                     std::size_t firstRound, TimePoint now);
   /// Continues a search that ended with Unanswered: candidates that did not
   /// reply are asked again.
   void resume();
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -11,12 +11,14 @@
 #include "Wire/Wire.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -61,14 +63,6 @@
 
 ServiceNameHash hashServiceName(std::string_view name);
 
-/// The two addresses that identify a flow.
-struct FlowEndpoints {
-  Endpoint Caller;
-  Endpoint Service;
-  friend auto operator<=>(const FlowEndpoints &,
-                          const FlowEndpoints &) = default;
-};
-
 /// Every node computes the same hash for a flow. It determines the order in
 /// which a search queries the agents.
 std::uint64_t hashFlowEndpoints(const FlowEndpoints &flow);
@@ -150,9 +144,6 @@
   Duration AnswerTimeout{150};
   /// How long an agent that did not answer gets no new flows.
   Duration UnresponsivePenalty{1000};
-  /// Limits the rate of queries of all searches. A query and its reply take
-  /// about 140 bytes with their headers, so this is half of a link of 2 Mbit/s.
-  std::uint32_t QueriesPerSecond = 1000;
   /// Longest time for which a first packet is deferred until an upstream is
   /// free. It equals the shortest response-time goal of the deployments.
   Duration MaxDeferral{100};
@@ -220,8 +211,10 @@
   /// was already confirmed.
   virtual std::optional<HolderConfirmation>
   onFlowHeld(const FlowHeld &message, const Endpoint &agent, TimePoint now) = 0;
-  /// Returns the decision on the kept packet of the flow.
+  /// Handles one entry of a FlowsNotHeld. Returns the decision on the kept
+  /// packet of the flow.
   virtual RelayDecision onFlowNotHeld(const FlowNotHeld &message,
+                                      const UpstreamLoad &load,
                                       const Endpoint &agent,
                                       const ServiceTable &table,
                                       TimePoint now) = 0;
@@ -234,6 +227,44 @@
   virtual std::size_t flowCount() const = 0;
 };
 
+struct QueryBatcherOptions {
+  /// Datagrams with queries that may be sent in a second. Such a datagram and
+  /// its reply have at most 900 bytes, but few have more than 100 unless all
+  /// machines have lost power: a link of 2 Mbit/s carries 2,500 of those.
+  std::uint32_t DatagramsPerSecond = 1500;
+  /// Datagrams that may be sent at once: a search through the agents of a
+  /// service of the largest deployment.
+  std::uint32_t Burst = 256;
+};
+
+/// Queries of many searches, combined into few datagrams. As long as few are
+/// sent, each query is sent at once. Beyond the rate limit queries wait, and
+/// those to the same agent share a datagram.
+class QueryBatcher {
+public:
+  struct Batch {
+    Endpoint Agent;
+    FlowQuery Query;
+  };
+
+  explicit QueryBatcher(QueryBatcherOptions options = {});
+  /// Does nothing if the same query is waiting already.
+  void add(const FlowEndpoints &flow, const QueryTarget &target);
+  /// Returns the datagrams to send now, those that wait longest first.
+  std::vector<Batch> take(TimePoint now);
+  bool isEmpty() const { return Order.empty(); }
+
+private:
+  using Target = std::pair<Endpoint, ServiceNameHash>;
+
+  QueryBatcherOptions Options;
+  std::map<Target, std::vector<FlowEndpoints>> Waiting;
+  /// Targets in the order in which their first query was added.
+  std::deque<Target> Order;
+  double Tokens = 0;
+  TimePoint TokensAt{};
+};
+
 std::unique_ptr<FlowRouter> makeFlowRouter(FlowRouterOptions options);
 
 /// Status report of an upstream to the agent on its machine.
@@ -360,7 +391,7 @@
   /// Handles a packet from a balancer.
   virtual void onRelayedPacket(RelayedPacket message, const Endpoint &balancer,
                                TimePoint now, RelayOutput &out) = 0;
-  /// Answers whether the upstream holds a flow, without asking the upstream.
+  /// Answers whether the upstream holds flows, without asking the upstream.
   virtual void onFlowQuery(const FlowQuery &message, const Endpoint &balancer,
                            TimePoint now, RelayOutput &out) = 0;
   /// Handles a packet from the upstream, which is either an answer to a caller
--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -276,23 +276,24 @@
 void UpstreamRelayImpl::onFlowQuery(const FlowQuery &message,
                                     const Endpoint &balancer, TimePoint now,
                                     RelayOutput &out) {
-  const FlowEndpoints endpoints{message.Caller, message.Service};
-  const Flow *flow = find(endpoints);
-  const bool isSameService = message.ServiceName == Service;
-  if (isSameService && flow != nullptr && flow->AcceptedByUpstream) {
-    sendMessage(
-        balancer,
-        FlowHeld{message.Caller, message.Service, flow->FirstSequence, load()},
-        out);
-    return;
-  }
   // If the service differs, the agent's address belonged to an upstream of that
   // service earlier, which has ended with all of its flows.
-  const bool isCertain =
-      !isSameService || (flow == nullptr && knowsAllFlows(endpoints, now));
-  sendMessage(balancer,
-              FlowNotHeld{message.Caller, message.Service, isCertain, load()},
-              out);
+  const bool isSameService = message.ServiceName == Service;
+  FlowsNotHeld negative;
+  negative.Load = load();
+  for (const FlowEndpoints &it : message.Flows) {
+    const Flow *flow = find(it);
+    if (isSameService && flow != nullptr && flow->AcceptedByUpstream) {
+      sendMessage(balancer,
+                  FlowHeld{it.Caller, it.Service, flow->FirstSequence, load()},
+                  out);
+      continue;
+    }
+    negative.Flows.push_back(
+        {it, !isSameService || (flow == nullptr && knowsAllFlows(it, now))});
+  }
+  if (!negative.Flows.empty())
+    sendMessage(balancer, std::move(negative), out);
 }
 
 UpstreamLoad UpstreamRelayImpl::load() const {
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -14,6 +14,8 @@
 /// state (1). The decoder uses it to reject a list that claims more elements
 /// than the remaining bytes can hold.
 constexpr std::size_t MinCandidateBytes = 19;
+/// Encoded size of FlowEndpoints: two addresses of 6 bytes.
+constexpr std::size_t FlowEndpointsBytes = 12;
 
 } // namespace
 
@@ -118,17 +120,24 @@
   fields(archive, it.Load);
 }
 
-template <typename Archive> void fields(Archive &archive, FlowQuery &it) {
+template <typename Archive> void fields(Archive &archive, FlowEndpoints &it) {
   field(archive, it.Caller);
   field(archive, it.Service);
+}
+
+template <typename Archive> void fields(Archive &archive, FlowQuery &it) {
   field(archive, it.ServiceName);
+  list(archive, it.Flows, MaxFlowsInQuery, FlowEndpointsBytes);
 }
 
 template <typename Archive> void fields(Archive &archive, FlowNotHeld &it) {
-  field(archive, it.Caller);
-  field(archive, it.Service);
+  fields(archive, it.Flow);
   field(archive, it.IsCertain);
+}
+
+template <typename Archive> void fields(Archive &archive, FlowsNotHeld &it) {
   fields(archive, it.Load);
+  list(archive, it.Flows, MaxFlowsInQuery, FlowEndpointsBytes + 1);
 }
 
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf) {
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -257,37 +257,51 @@
   friend bool operator==(const FlowHeld &, const FlowHeld &) = default;
 };
 
-/// Balancer to agent, relay mode: asks whether the upstream of the agent holds
-/// a flow. The agent answers with FlowHeld or FlowNotHeld from its own flow
-/// table, so that a search for the holder of a flow delivers nothing to
-/// upstreams.
-struct FlowQuery {
+/// The two addresses that identify a flow.
+struct FlowEndpoints {
   Endpoint Caller;
   Endpoint Service;
-  /// The agent of another service does not hold the flow.
+  friend auto operator<=>(const FlowEndpoints &,
+                          const FlowEndpoints &) = default;
+};
+
+/// Largest number of flows in a FlowQuery or FlowsNotHeld.
+inline constexpr std::size_t MaxFlowsInQuery = 64;
+
+/// Balancer to agent, relay mode: asks whether the upstream of the agent holds
+/// these flows. The agent answers with FlowHeld for each flow that it holds and
+/// with one FlowsNotHeld for the others. It knows from its own flow table, so a
+/// search for the holder of a flow delivers nothing to upstreams.
+struct FlowQuery {
+  /// The agent of another service does not hold the flows.
   ServiceNameHash ServiceName;
+  std::vector<FlowEndpoints> Flows;
   friend bool operator==(const FlowQuery &, const FlowQuery &) = default;
 };
 
-/// Agent to balancer, relay mode: the negative reply to a FlowQuery.
 struct FlowNotHeld {
-  Endpoint Caller;
-  Endpoint Service;
+  FlowEndpoints Flow;
   /// False if the agent does not know all flows of its upstream, because it
   /// started after the upstream. Only the upstream itself can then tell, by
   /// returning a packet of the flow.
   bool IsCertain = true;
-  UpstreamLoad Load;
   friend bool operator==(const FlowNotHeld &, const FlowNotHeld &) = default;
 };
 
+/// Agent to balancer, relay mode: the negative reply to a FlowQuery.
+struct FlowsNotHeld {
+  UpstreamLoad Load;
+  std::vector<FlowNotHeld> Flows;
+  friend bool operator==(const FlowsNotHeld &, const FlowsNotHeld &) = default;
+};
+
 /// New messages are appended, because the position of a type is its number on
 /// the wire.
 using DataMessage =
     std::variant<CallerPacket, ForwardedPacket, ChainExhausted, ProbeMissed,
                  LoadReport, CallerReply, PeerLeaseQuery, PeerLeaseReply,
                  RelayedPacket, ReturnedPacket, FlowHeld, FlowQuery,
-                 FlowNotHeld>;
+                 FlowsNotHeld>;
 
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf);
 
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -45,8 +45,8 @@
       all.insert(all.end(), round.begin(), round.end());
       for (const QueryTarget &it : round)
         decision = Router->onFlowNotHeld(
-            {callerEndpoint(caller), RouteAddress, true, {}}, it.Agent, *Table,
-            Now);
+            {{callerEndpoint(caller), RouteAddress}, true}, {}, it.Agent,
+            *Table, Now);
     }
     EXPECT_EQ(decision.Action, RelayAction::Reset);
     return all;
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -63,11 +63,13 @@
                      sampleBytes(31)},
       FlowHeld{
           {0x64400007, 40001}, {0xC6120001, 443}, 99, UpstreamLoad{1, 2, 5}},
-      FlowQuery{{0x64400007, 40001}, {0xC6120001, 443}, ServiceNameHash{77}},
-      FlowNotHeld{{0x64400007, 40001},
-                  {0xC6120001, 443},
-                  false,
-                  UpstreamLoad{1, 2, 5}}};
+      FlowQuery{ServiceNameHash{77},
+                std::vector<FlowEndpoints>(
+                    MaxFlowsInQuery, {{0x64400007, 40001}, {0xC6120001, 443}})},
+      FlowsNotHeld{UpstreamLoad{1, 2, 5},
+                   std::vector<FlowNotHeld>(
+                       MaxFlowsInQuery,
+                       {{{0x64400007, 40001}, {0xC6120001, 443}}, false})}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
