Bound the wait for a slot of an upstream in time

Change: the agent measures how long a slot takes for a request and lets in what waits at most 100 ms, four requests a slot at most as before.

--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -39,7 +39,14 @@
 
 /// An upstream with this many requests per slot gets no new flows: waiting in
 /// its queue would take longer than opening the flow on another upstream.
-constexpr std::uint32_t MaxRequestsPerSlot = 4;
+constexpr double MaxRequestsPerSlot = 4;
+
+/// Longest time that a new flow should wait for a slot of its upstream. It is
+/// the shortest response-time goal of the deployments.
+constexpr Duration MaxSlotWait{100};
+
+/// Weight of the latest request in the average time that a slot takes for one.
+constexpr double ServiceTimeWeight = 1.0 / 16;
 
 /// A request without an answer for this long no longer counts as work, because
 /// the caller has given up or the answer was lost.
@@ -75,6 +82,8 @@
   TimePoint BusySince{};
   /// Sequence number after the last data of the caller seen so far.
   std::uint32_t CallerDataEnd = 0;
+  /// Requests per slot when the latest request of the flow arrived, at least 1.
+  double RequestsPerSlot = 1;
   /// When the upstream sent its first packet of the flow.
   TimePoint AcceptedAt{};
   bool HasData = false;
@@ -141,6 +150,9 @@
 private:
   void onOpen(RelayedPacket message, const FlowPacket &packet,
               const Endpoint &balancer, TimePoint now, RelayOutput &out);
+  /// Requests per slot that keep the wait for a slot within MaxSlotWait.
+  double requestsPerSlotLimit() const;
+  void recordAnswerTime(const Flow &flow, Duration elapsed);
   std::optional<Duration> declineDelay(std::uint8_t attempt, TimePoint now);
   bool isWithinColdRateLimit(TimePoint now);
   void deliver(RelayedPacket &message, const Endpoint &balancer,
@@ -199,6 +211,9 @@
   std::vector<SentPacket> SentPackets;
   std::uint32_t LastTag = 0;
   std::uint32_t BusyFlows = 0;
+  /// Average time that a slot takes for a request, in milliseconds; 0 if no
+  /// request has been answered yet.
+  double ServiceTimeMs = 0;
   TimePoint LastSweep{};
   RelayCounters Counts;
 };
@@ -236,6 +251,26 @@
   flow.HasData = true;
   flow.CallerDataEnd = end;
   setBusy(flow, true, now);
+  flow.RequestsPerSlot = std::max(1.0, static_cast<double>(BusyFlows) /
+                                           std::max(LastReport.Slots, 1U));
+}
+
+/// A request that finds all slots taken waits for those before it, so its
+/// answer time is about the time of a request times the requests per slot.
+void UpstreamRelayImpl::recordAnswerTime(const Flow &flow, Duration elapsed) {
+  const double sample =
+      static_cast<double>(elapsed.count()) / flow.RequestsPerSlot;
+  ServiceTimeMs =
+      ServiceTimeMs == 0
+          ? sample
+          : ServiceTimeMs + (sample - ServiceTimeMs) * ServiceTimeWeight;
+}
+
+double UpstreamRelayImpl::requestsPerSlotLimit() const {
+  if (ServiceTimeMs <= 0)
+    return MaxRequestsPerSlot;
+  return std::min(MaxRequestsPerSlot,
+                  1 + static_cast<double>(MaxSlotWait.count()) / ServiceTimeMs);
 }
 
 void UpstreamRelayImpl::erase(const FlowEndpoints &endpoints) {
@@ -339,6 +374,7 @@
     ClosedFlows = 0;
     PendingOpens.clear();
     BusyFlows = 0;
+    ServiceTimeMs = 0;
     Ended = false;
   }
   const bool drained = !isNew && LastReport.Draining;
@@ -398,11 +434,12 @@
   }
   // On its first attempt, a flow is declined as soon as it would have to wait
   // for a slot, because the balancer may find a less loaded upstream. On later
-  // attempts the flow is accepted up to MaxRequestsPerSlot.
-  const std::uint32_t allowed = attempt == 0 ? 1 : MaxRequestsPerSlot;
-  if (BusyFlows >= LastReport.Slots * allowed)
+  // attempts the flow is accepted up to requestsPerSlotLimit().
+  const double allowed =
+      LastReport.Slots * (attempt == 0 ? 1 : requestsPerSlotLimit());
+  if (BusyFlows >= allowed)
     expireBusyFlows(now);
-  if (BusyFlows >= LastReport.Slots * allowed)
+  if (BusyFlows >= allowed)
     return BusyRetryDelay;
   return std::nullopt;
 }
@@ -548,8 +585,10 @@
       out.Timings.push_back({Kind::Open, now - flow.BusySince});
   }
   if (packet.DataBytes > 0) {
-    if (flow.Busy && flow.HasData)
+    if (flow.Busy && flow.HasData) {
       out.Timings.push_back({Kind::Answer, now - flow.BusySince});
+      recordAnswerTime(flow, now - flow.BusySince);
+    }
     setBusy(flow, false, now);
   }
   setClosed(flow, false, packet.Ends);
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -461,6 +461,49 @@
   EXPECT_FALSE(isDeclined(relayPacket(firstPacket(9), 0)));
 }
 
+struct SlotWaitCase {
+  const char *Name;
+  Duration ServiceTime;
+  /// Flows that two slots take on a later attempt.
+  int Accepted;
+};
+
+class SlotWaitTest : public UpstreamRelayTest,
+                     public testing::WithParamInterface<SlotWaitCase> {};
+
+// Load pattern: the backlog after a loss of power, where every upstream is full
+// and work takes 55 to 90 ms. Guards against a queue at the upstream in which
+// every request waits until all of them miss a goal of 250 ms: eight requests
+// on two slots waited 0.35 s.
+TEST_P(SlotWaitTest, QueueAtTheUpstreamIsBoundedInTime) {
+  report(makeReport());
+  std::uint16_t caller = 1;
+  for (; caller <= 60; ++caller) {
+    open(caller);
+    relayPacket(dataPacket(caller, 501));
+    Now += GetParam().ServiceTime;
+    sendFromUpstream(fromUpstream(caller, false, 501, 10));
+  }
+  report(makeReport(2));
+  int accepted = 0;
+  for (int i = 0; i < 12; ++i, ++caller) {
+    if (isDeclined(relayPacket(firstPacket(caller), 1)))
+      continue;
+    ++accepted;
+    sendFromUpstream(fromUpstream(caller, true, 500));
+    relayPacket(dataPacket(caller, 501));
+  }
+  EXPECT_EQ(accepted, GetParam().Accepted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, SlotWaitTest,
+    testing::Values(SlotWaitCase{"Short", Duration(15), 8},
+                    SlotWaitCase{"Medium", Duration(50), 6},
+                    SlotWaitCase{"Long", Duration(100), 4},
+                    SlotWaitCase{"VeryLong", Duration(400), 3}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
 // Guards against an idle upstream that gets no new flows because callers opened
 // flows and disappeared before they sent a request.
 TEST_F(UpstreamRelayTest, FlowsWithoutARequestStopCountingAsBusy) {
