Limit queries by bytes and time their replies from when they are sent

Shared query datagrams of up to 800 bytes, 1,500 a second, filled links of 2 Mbit/s; queries that waited or were lost counted as unanswered and were sent again. Ruled out: one query for each flow and agent, 8 s for 40 lost flows of one balancer. Change: 80 kB a second, 16 kB at once. The wait for a reply begins when the query leaves; queries of flows that were found meanwhile are dropped.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -309,7 +309,12 @@
 }
 
 void RelayBalancer::sendWaitingQueries() {
-  for (QueryBatcher::Batch &it : Queries.take(steadyNow())) {
+  const TimePoint now = steadyNow();
+  for (QueryBatcher::Batch &it : Queries.take(now)) {
+    Router->eraseFoundFlows(it.Query.Flows);
+    if (it.Query.Flows.empty())
+      continue;
+    Router->onQuerySent(it.Query, it.Agent, now);
     SendBuffer.clear();
     const absl::Status encoded = encodeData(std::move(it.Query), SendBuffer);
     if (!encoded.ok()) {
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -161,6 +161,9 @@
   std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                          TimePoint now) override;
   bool isSearching() const override;
+  void eraseFoundFlows(std::vector<FlowEndpoints> &flows) const override;
+  void onQuerySent(const FlowQuery &query, const Endpoint &agent,
+                   TimePoint now) override;
   void tick(TimePoint now) override;
   std::size_t flowCount() const override { return Flows.size(); }
 
@@ -585,6 +588,20 @@
   return decisions;
 }
 
+void FlowRouterImpl::eraseFoundFlows(std::vector<FlowEndpoints> &flows) const {
+  std::erase_if(flows, [&](const FlowEndpoints &it) {
+    const auto search = Searches.find(it);
+    return search == Searches.end() || search->second.isFinished();
+  });
+}
+
+void FlowRouterImpl::onQuerySent(const FlowQuery &query, const Endpoint &agent,
+                                 TimePoint now) {
+  for (const FlowEndpoints &it : query.Flows)
+    if (const auto search = Searches.find(it); search != Searches.end())
+      search->second.onQuerySent(agent, now);
+}
+
 bool FlowRouterImpl::isSearching() const {
   return std::ranges::any_of(
       Searches, [](const auto &it) { return !it.second.isFinished(); });
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -6,8 +6,7 @@
 namespace {
 
 /// A query without a reply for this long is repeated, because a datagram may be
-/// lost. The value covers the time that a query may wait for others to the same
-/// agent, see QueryBatcher.
+/// lost. The value is several round trips between data centres.
 constexpr Duration QueryTimeout{100};
 /// A candidate is unresponsive after this many queries without a reply.
 constexpr std::uint8_t MaxQueries = 3;
@@ -28,11 +27,13 @@
 }
 
 bool HolderSearch::isDue(const Inquiry &it, TimePoint now) const {
+  if (!it.SentAt)
+    return false;
   switch (it.Status) {
   case State::Queried:
-    return now - it.SentAt >= QueryTimeout;
+    return now - *it.SentAt >= QueryTimeout;
   case State::Probed:
-    return now - it.SentAt >= ProbeTimeout;
+    return now - *it.SentAt >= ProbeTimeout;
   default:
     return false;
   }
@@ -52,6 +53,12 @@
     it->second.Status = State::Unsure;
 }
 
+void HolderSearch::onQuerySent(const Endpoint &agent, TimePoint now) {
+  const auto it = Inquiries.find(agent);
+  if (it != Inquiries.end() && it->second.Status == State::Queried)
+    it->second.SentAt = now;
+}
+
 bool HolderSearch::canAdvance(TimePoint now) const {
   if (Finished)
     return false;
@@ -84,7 +91,7 @@
   SearchStep step;
   const auto query = [&](Inquiry &it) {
     ++it.Queries;
-    it.SentAt = now;
+    it.SentAt.reset();
     step.Agents.push_back(it.Agent);
   };
   for (auto &[agent, it] : Inquiries)
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -50,6 +50,8 @@
   /// Records that the upstream of \p agent does not hold the flow or, if
   /// \p isCertain is false, that the agent cannot tell.
   void onNotHeld(const Endpoint &agent, bool isCertain);
+  /// Records that the query to \p agent has been sent.
+  void onQuerySent(const Endpoint &agent, TimePoint now);
   /// Returns whether advance() may return anything but Wait.
   bool canAdvance(TimePoint now) const;
   /// Returns the next step. \p candidates are all agents that may hold the
@@ -79,7 +81,8 @@
     HolderCandidate Agent;
     State Status = State::Queried;
     std::uint8_t Queries = 0;
-    TimePoint SentAt{};
+    /// Not set while the query waits to be sent.
+    std::optional<TimePoint> SentAt;
   };
 
   bool isDue(const Inquiry &it, TimePoint now) const;
--- a/Source/Core/Relay/QueryBatcher.cpp
+++ b/Source/Core/Relay/QueryBatcher.cpp
@@ -3,9 +3,17 @@
 #include <algorithm>
 
 namespace pistachio {
+namespace {
+
+/// Size of a datagram with a query: the headers of UDP, IP and the message, and
+/// two addresses for each flow.
+constexpr std::size_t HeaderBytes = 48;
+constexpr std::size_t FlowBytes = 12;
+
+} // namespace
 
 QueryBatcher::QueryBatcher(QueryBatcherOptions options)
-    : Options(options), Tokens(options.Burst) {}
+    : Options(options), Tokens(options.BurstBytes) {}
 
 void QueryBatcher::add(const FlowEndpoints &flow, const QueryTarget &target) {
   std::vector<FlowEndpoints> &flows = Waiting[{target.Agent, target.Service}];
@@ -17,12 +25,12 @@
 
 std::vector<QueryBatcher::Batch> QueryBatcher::take(TimePoint now) {
   if (TokensAt != TimePoint{})
-    Tokens = std::min<double>(Options.Burst,
+    Tokens = std::min<double>(Options.BurstBytes,
                               Tokens + toSeconds(now - TokensAt) *
-                                           Options.DatagramsPerSecond);
+                                           Options.BytesPerSecond);
   TokensAt = now;
   std::vector<Batch> batches;
-  while (!Order.empty() && Tokens >= 1) {
+  while (!Order.empty() && Tokens > 0) {
     const auto it = Waiting.find(Order.front());
     std::vector<FlowEndpoints> &flows = it->second;
     const auto n =
@@ -34,7 +42,8 @@
       Waiting.erase(it);
       Order.pop_front();
     }
-    --Tokens;
+    Tokens -= static_cast<double>(HeaderBytes +
+                                  FlowBytes * static_cast<std::size_t>(n));
   }
   return batches;
 }
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -223,18 +223,23 @@
   virtual std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                                  TimePoint now) = 0;
   virtual bool isSearching() const = 0;
+  /// Removes the flows that are not searched for any more.
+  virtual void eraseFoundFlows(std::vector<FlowEndpoints> &flows) const = 0;
+  /// Must be called when a query is sent: the wait for its reply begins.
+  virtual void onQuerySent(const FlowQuery &query, const Endpoint &agent,
+                           TimePoint now) = 0;
   virtual void tick(TimePoint now) = 0;
   virtual std::size_t flowCount() const = 0;
 };
 
 struct QueryBatcherOptions {
-  /// Datagrams with queries that may be sent in a second. Such a datagram and
-  /// its reply have at most 900 bytes, but few have more than 100 unless all
-  /// machines have lost power: a link of 2 Mbit/s carries 2,500 of those.
-  std::uint32_t DatagramsPerSecond = 1500;
-  /// Datagrams that may be sent at once: a search through the agents of a
-  /// service of the largest deployment.
-  std::uint32_t Burst = 256;
+  /// Bytes of datagrams with queries that may be sent in a second, with their
+  /// headers; the replies take about as many. This is a third of a link of
+  /// 2 Mbit/s, whose rest carries the packets of callers.
+  std::uint32_t BytesPerSecond = 80'000;
+  /// Bytes that may be sent at once: a search through the agents of a service
+  /// of the largest deployment.
+  std::uint32_t BurstBytes = 16'000;
 };
 
 /// Queries of many searches, combined into few datagrams. As long as few are
