--- a/Source/UnitTests/Relay/QueryBatcherTest.cpp
+++ b/Source/UnitTests/Relay/QueryBatcherTest.cpp
@@ -55,7 +55,8 @@
 // Guards against a query with more flows than a message carries.
 TEST_F(QueryBatcherTest, DatagramsAreBounded) {
   Batcher = QueryBatcher();
-  for (std::uint16_t caller = 1; caller <= 2 * MaxFlowsInQuery + 1; ++caller)
+  constexpr std::uint16_t Flows = 2 * MaxFlowsInQuery + 1;
+  for (std::uint16_t caller = 1; caller <= Flows; ++caller)
     add(caller, 1);
   const auto batches = Batcher.take(Now);
   ASSERT_EQ(batches.size(), 3U);
--- a/Tools/fuzz.sh
+++ b/Tools/fuzz.sh
@@ -12,10 +12,11 @@
   dpkg-query -W -f='${Status}' "$package" 2> /dev/null | grep -q '^install ok installed$' ||
     apt-get install -y -q --no-install-recommends "$package"
 done
+mkdir -p build-fuzz
+log=build-fuzz/build.log
 cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DPISTACHIO_SANITIZE=ON -DPISTACHIO_FUZZ=ON \
-  -DCMAKE_CXX_FLAGS=-fsanitize=fuzzer-no-link > build-fuzz.log 2>&1 &&
-  cmake --build build-fuzz --target fuzz-all >> build-fuzz.log 2>&1 || { cat build-fuzz.log; exit 1; }
-rm -f build-fuzz.log
+  -DCMAKE_CXX_FLAGS=-fsanitize=fuzzer-no-link > "$log" 2>&1 &&
+  cmake --build build-fuzz --target fuzz-all >> "$log" 2>&1 || { cat "$log"; exit 1; }
 bin=$PWD/build-fuzz/Source/UnitTests/Fuzz
 work=$PWD/build-fuzz/findings
 rm -rf "$work"
