Stop a connection attempt that has just timed out without an exception

A link to a removed member was stopped between the time-out of its connection attempt, which closes the socket, and the handler of the attempt; cancelling a closed socket threw. Ruled out: the timers, whose cancel does not fail. Change: the error of the cancellation is ignored, the socket is closed already. Measured: TcpTest.StopAtAnyStepOfAConnectionAttempt throws at step 4 without the change, passes with it.

--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -79,8 +79,10 @@
     Shared->Stopped = true;
     Shared->Timer.cancel();
     Shared->MoveTimer.cancel();
+    // The socket is closed already if the attempt has just timed out.
+    error_code ec;
     if (Shared->ConnectingSocket)
-      Shared->ConnectingSocket->cancel();
+      Shared->ConnectingSocket->cancel(ec);
     if (Shared->Connection)
       Shared->Connection->close();
     // The connection and the state refer to each other. The close handler,
--- a/Source/UnitTests/Runtime/TcpTest.cpp
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -100,6 +100,40 @@
   EXPECT_TRUE(runUntil(context, [&] { return configured.Opened == 2; }));
 }
 
+// Guards against an exception that ends the process: a control instance stopped
+// a link to a removed member just after the connection attempt had timed out
+// and its socket was closed, and to cancel that socket threw an error.
+TEST(TcpTest, StopAtAnyStepOfAConnectionAttempt) {
+  boost::asio::io_context context;
+  // A listener with a full accept queue does not respond.
+  boost::asio::ip::tcp::acceptor full(
+      context, {boost::asio::ip::address_v4::loopback(), 0}, true);
+  full.listen(0);
+  std::vector<boost::asio::ip::tcp::socket> waiting;
+  constexpr int ConnectionsBeyondQueue = 4;
+  for (int i = 0; i < ConnectionsBeyondQueue; ++i) {
+    waiting.emplace_back(context);
+    waiting.back().async_connect(full.local_endpoint(),
+                                 [](const boost::system::error_code &) {});
+  }
+  context.run_for(std::chrono::milliseconds(50));
+  constexpr int Steps = 6;
+  for (int steps = 0; steps < Steps; ++steps) {
+    auto client = connectTcp(
+        context, {{0x7F000001, full.local_endpoint().port()}},
+        {[](ConnectionId) {}, [](ConnectionId, std::span<const std::byte>) {},
+         [](ConnectionId) {}});
+    for (int i = 0; i < steps; ++i) {
+      context.restart();
+      context.run_one_for(std::chrono::milliseconds(500));
+    }
+    EXPECT_NO_THROW(client->stop()) << steps << " steps";
+    client.reset();
+    context.restart();
+    context.poll();
+  }
+}
+
 // Load pattern: hundreds of nodes start with the same three seeds. Guards
 // against nodes that stay at a seed, which may be a small instance, after it
 // has named the servers that should serve them.
