Send the packet to likely holders before all agents are asked

It ends with all processes killed while upstreams live; restarted agents can't tell which flows their upstream holds. A search asked all 200 of them first and then sent the packet to eight at a time, in the order of addresses instead of that of placement. Change: agents that cannot tell get the packet at the end of their round, before others are queried. Measured: LikelyHoldersGetThePacketFirstIfNoAgentCanTell fails without it. OnlyUncertainAgentsGetThePacket required that the packet goes out after all queries, which was the fault; it now requires that each uncertain agent gets it once and no other does.

--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -97,6 +97,11 @@
   for (auto &[agent, it] : Inquiries)
     if (isDue(it, now))
       query(it);
+  // Agents that cannot tell are asked by packet before others are queried: the
+  // holder is most likely among the first. After all agents have restarted,
+  // none can tell.
+  if (step.Agents.empty() && hasStatus(State::Unsure))
+    return probeUnsure(now);
   const std::size_t limit =
       std::min(RoundSize == 0 ? firstRound : RoundSize * 2, MaxRoundSize);
   std::size_t fresh = 0;
@@ -118,8 +123,6 @@
   }
   if (hasStatus(State::Queried) || hasStatus(State::Probed))
     return step;
-  if (hasStatus(State::Unsure))
-    return probeUnsure(now);
   Finished = true;
   step.Action = hasStatus(State::Unresponsive) ? SearchStep::Kind::Unanswered
                                                : SearchStep::Kind::NotFound;
