--- a/Source/UnitTests/Runtime/TcpTest.cpp
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -39,6 +39,27 @@
   int Closed = 0;
 };
 
+/// A listener that does not respond to further connections, because its accept
+/// queue is full.
+struct UnresponsiveServer {
+  explicit UnresponsiveServer(boost::asio::io_context &context)
+      : Full(context, {boost::asio::ip::address_v4::loopback(), 0}, true) {
+    Full.listen(0);
+    constexpr int ConnectionsBeyondQueue = 4;
+    for (int i = 0; i < ConnectionsBeyondQueue; ++i) {
+      Waiting.emplace_back(context);
+      Waiting.back().async_connect(Full.local_endpoint(),
+                                   [](const boost::system::error_code &) {});
+    }
+    context.run_for(std::chrono::milliseconds(50));
+  }
+  Endpoint endpoint() const {
+    return {Loopback.Address, Full.local_endpoint().port()};
+  }
+  boost::asio::ip::tcp::acceptor Full;
+  std::vector<boost::asio::ip::tcp::socket> Waiting;
+};
+
 // Guards against frames that are merged, split or reordered.
 TEST(TcpTest, PreservesFrameBoundariesAndOrder) {
   boost::asio::io_context context;
@@ -105,24 +126,13 @@
 // and its socket was closed, and to cancel that socket threw an error.
 TEST(TcpTest, StopAtAnyStepOfAConnectionAttempt) {
   boost::asio::io_context context;
-  // A listener with a full accept queue does not respond.
-  boost::asio::ip::tcp::acceptor full(
-      context, {boost::asio::ip::address_v4::loopback(), 0}, true);
-  full.listen(0);
-  std::vector<boost::asio::ip::tcp::socket> waiting;
-  constexpr int ConnectionsBeyondQueue = 4;
-  for (int i = 0; i < ConnectionsBeyondQueue; ++i) {
-    waiting.emplace_back(context);
-    waiting.back().async_connect(full.local_endpoint(),
-                                 [](const boost::system::error_code &) {});
-  }
-  context.run_for(std::chrono::milliseconds(50));
+  UnresponsiveServer server(context);
   constexpr int Steps = 6;
   for (int steps = 0; steps < Steps; ++steps) {
-    auto client = connectTcp(
-        context, {{0x7F000001, full.local_endpoint().port()}},
-        {[](ConnectionId) {}, [](ConnectionId, std::span<const std::byte>) {},
-         [](ConnectionId) {}});
+    auto client = connectTcp(context, {server.endpoint()},
+                             {[](ConnectionId) {},
+                              [](ConnectionId, std::span<const std::byte>) {},
+                              [](ConnectionId) {}});
     for (int i = 0; i < steps; ++i) {
       context.restart();
       context.run_one_for(std::chrono::milliseconds(500));
@@ -183,24 +193,10 @@
 // for example because it is powered off, instead of trying the next one.
 TEST(TcpTest, UnresponsiveServerIsAbandoned) {
   boost::asio::io_context context;
-  // A listener with a full accept queue does not respond to further
-  // connections.
-  boost::asio::ip::tcp::acceptor full(
-      context, {boost::asio::ip::address_v4::loopback(), 0}, true);
-  full.listen(0);
-  std::vector<boost::asio::ip::tcp::socket> waiting;
-  constexpr int ConnectionsBeyondQueue = 4;
-  for (int i = 0; i < ConnectionsBeyondQueue; ++i) {
-    waiting.emplace_back(context);
-    waiting.back().async_connect(full.local_endpoint(),
-                                 [](const boost::system::error_code &) {});
-  }
-  context.run_for(std::chrono::milliseconds(50));
+  UnresponsiveServer server(context);
   EchoServer working(context);
   const auto client = connectTcp(
-      context,
-      {{Loopback.Address, full.local_endpoint().port()},
-       working.Tcp->endpoint()},
+      context, {server.endpoint(), working.Tcp->endpoint()},
       {[](ConnectionId) {}, [](ConnectionId, std::span<const std::byte>) {},
        [](ConnectionId) {}});
   EXPECT_TRUE(runUntil(context, [&] { return working.Opened == 1; }));
