Log what tells an old table from a remembered decision

Added: routing_published maps a version to a revision at each control instance; control_connected and control_instance_left name the server; table_behind and table_current report a table that is older than the revision of the latest grant; flow_routed covers first packets of known flows and says since when the agent is chosen. Metrics pistachio_balancer_committed_revision, pistachio_balancer_table_behind_seconds and pistachio_control_node_queued_bytes.

No decision changes.

--- a/Source/Balancer/ControlLink.cpp
+++ b/Source/Balancer/ControlLink.cpp
@@ -27,7 +27,8 @@
 
 void ControlLink::onOpen() {
   logEvent(LogLevel::Info, "control_connected", "",
-           {{"revision", std::to_string(table()->revision().Value)}});
+           {{"server", toString(Client->server())},
+            {"revision", std::to_string(table()->revision().Value)}});
   PendingRequestTimes.clear();
   Replica.discardParts();
   LastGrantAt = steadyNow();
@@ -55,7 +56,8 @@
     logEvent(LogLevel::Warning, "control_instance_left",
              "the control instance granted no lease in time; connecting to the "
              "next one",
-             {{"silent_ms", std::to_string((now - LastGrantAt).count())},
+             {{"server", toString(Client->server())},
+              {"silent_ms", std::to_string((now - LastGrantAt).count())},
               {"revision", std::to_string(table()->revision().Value)}});
     LastGrantAt = now;
     Client->reconnect();
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -21,6 +21,10 @@
 /// Control is reported as lost after this long without a grant, which is twelve
 /// renewals.
 constexpr Duration ControlLostTimeout{3000};
+/// A table that has been older than the state of the control instance for this
+/// long is reported. Updates normally arrive before the grant that names their
+/// revision.
+constexpr Duration BehindReportDelay{500};
 /// The fabric stops sending packets after two failed readiness checks, which
 /// are half a second apart.
 constexpr Duration StopDelay{2000};
@@ -40,6 +44,12 @@
         Flows(registry.gauge("pistachio_balancer_flows", "Flows remembered")),
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
+        CommittedRevision(
+            registry.gauge("pistachio_balancer_committed_revision",
+                           "Revision that control named last")),
+        BehindSeconds(registry.gauge(
+            "pistachio_balancer_table_behind_seconds",
+            "How long the table has been older than the state of control")),
         Upstreams(registry.gauge("pistachio_balancer_upstreams",
                                  "Upstreams in the table")),
         PlacementTime(registry.histogram(
@@ -60,6 +70,8 @@
   Counter &Queries;
   Gauge &Flows;
   Gauge &Revision;
+  Gauge &CommittedRevision;
+  Gauge &BehindSeconds;
   Gauge &Upstreams;
   Histogram &PlacementTime;
   Histogram &SearchTime;
@@ -115,8 +127,12 @@
   ReadinessServer = *std::move(ready);
   ControlLink::Handlers handlers;
   handlers.OnTable = [this] { onTable(); };
-  handlers.OnGrant = [this](const LeaseGrant &, TimePoint) {
+  handlers.OnGrant = [this](const LeaseGrant &grant, TimePoint) {
     LastGrantAt = steadyNow();
+    CommittedRevision = grant.CommittedRevision;
+    Instruments->CommittedRevision.set(
+        static_cast<double>(CommittedRevision.Value));
+    checkTableAge(LastGrantAt);
   };
   Control = std::make_unique<ControlLink>(
       Context,
@@ -143,11 +159,36 @@
            {{"revision", std::to_string(table->revision().Value)},
             {"routes", std::to_string(table->routeCount())},
             {"upstreams", std::to_string(table->upstreamCount())}});
+  checkTableAge(steadyNow());
   Instruments->Revision.set(static_cast<double>(table->revision().Value));
   Instruments->Upstreams.set(static_cast<double>(table->upstreamCount()));
   retryDeferred();
 }
 
+void RelayBalancer::checkTableAge(TimePoint now) {
+  const Revision inForce = Control->table()->revision();
+  if (inForce >= CommittedRevision) {
+    if (IsBehindReported)
+      logEvent(LogLevel::Info, "table_current", "",
+               {{"revision", std::to_string(inForce.Value)},
+                {"behind_ms", std::to_string((now - *BehindSince).count())}});
+    BehindSince.reset();
+    IsBehindReported = false;
+    Instruments->BehindSeconds.set(0);
+    return;
+  }
+  if (!BehindSince)
+    BehindSince = now;
+  Instruments->BehindSeconds.set(toSeconds(now - *BehindSince));
+  if (IsBehindReported || now - *BehindSince < BehindReportDelay)
+    return;
+  IsBehindReported = true;
+  logEvent(LogLevel::Warning, "table_behind",
+           "control has committed a later revision than that of the table",
+           {{"revision", std::to_string(inForce.Value)},
+            {"committed", std::to_string(CommittedRevision.Value)}});
+}
+
 void RelayBalancer::retryDeferred() {
   RetryTimer.reset();
   if (Control->table()->routeCount() == 0)
@@ -229,9 +270,9 @@
 
 void RelayBalancer::logDecision(const RelayDecision &decision,
                                 const FlowPacket &packet) {
-  // Packets of flows with a known holder, and those that wait for the replies
-  // of a search, are counted but not logged.
-  if (decision.Reason == RelayReason::Held ||
+  // Later packets of flows with a known holder, and those that wait for the
+  // replies of a search, are counted but not logged.
+  if ((decision.Reason == RelayReason::Held && !packet.Opens) ||
       (decision.Action == RelayAction::Query && decision.Queries.empty()))
     return;
   const std::string_view event =
@@ -240,6 +281,9 @@
       : decision.Action == RelayAction::Defer ? "flow_waits"
       : decision.Action == RelayAction::Query ? "flow_searched"
                                               : "packet_dropped";
+  const Duration heldFor = decision.HolderSince == TimePoint{}
+                               ? Duration{0}
+                               : steadyNow() - decision.HolderSince;
   logEvent(
       LogLevel::Info, event, "",
       {{"flow", toString(FlowEndpoints{packet.Source, packet.Destination})},
@@ -250,6 +294,7 @@
        {"others", std::to_string(decision.OtherAgents.size())},
        {"attempt", std::to_string(decision.Attempt)},
        {"queries", std::to_string(decision.Queries.size())},
+       {"held_ms", std::to_string(heldFor.count())},
        {"revision", std::to_string(Control->table()->revision().Value)}});
 }
 
@@ -360,6 +405,7 @@
   }
   Router->tick(now);
   KeptForSearch.expire(now);
+  checkTableAge(now);
   Instruments->Flows.set(static_cast<double>(Router->flowCount()));
   const bool isControlReachable =
       LastGrantAt != TimePoint{} && now - LastGrantAt < ControlLostTimeout;
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -44,6 +44,8 @@
   void logDecision(const RelayDecision &decision, const FlowPacket &packet);
   bool isReady() const;
   void onTable();
+  /// Reports a table that stays older than the state of the control instance.
+  void checkTableAge(TimePoint now);
   void runPeriodicTasks();
 
   boost::asio::io_context &Context;
@@ -72,6 +74,11 @@
   TimePoint LastGrantAt{};
   TimePoint LastRenewal{};
   bool IsControlReachable = false;
+  /// Revision that the latest grant named.
+  Revision CommittedRevision;
+  /// Set while the table is older than CommittedRevision.
+  std::optional<TimePoint> BehindSince;
+  bool IsBehindReported = false;
   /// Reused for every packet to avoid allocations.
   Bytes SendBuffer;
 };
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -66,6 +66,9 @@
                                    "Rule changes accepted since the start");
   Gauge &RulesRefused = Registry->gauge("pistachio_control_rules_refused",
                                         "Rule changes refused since the start");
+  Gauge &QueuedForNodes =
+      Registry->gauge("pistachio_control_node_queued_bytes",
+                      "Table updates that wait to be sent to nodes, bytes");
   Gauge &SkippedMessages =
       Registry->gauge("pistachio_control_peer_messages_skipped",
                       "Log entries and snapshots held back because a link to a "
@@ -175,6 +178,7 @@
     Links->send(it.To.Address, it.Message);
   };
   hooks.OnPublished = [this] {
+    logRouting();
     if (!Nodes)
       return;
     Nodes->publish();
@@ -253,6 +257,7 @@
   DaemonMetrics->Refused.set(static_cast<double>(Nodes->leasesRefused()));
   DaemonMetrics->Applied.set(static_cast<double>(Backend->appliedCount()));
   DaemonMetrics->RulesRefused.set(static_cast<double>(Backend->refusedCount()));
+  DaemonMetrics->QueuedForNodes.set(static_cast<double>(Nodes->queuedBytes()));
   DaemonMetrics->SkippedMessages.set(
       static_cast<double>(Links->skippedMessages()));
   if (absl::Status health = Control->health(); !health.ok())
@@ -349,6 +354,17 @@
             {"term", std::to_string(Control->node().term())}});
 }
 
+void ControlDaemon::logRouting() {
+  const ControlState &state = Control->state();
+  if (state.routing().Version == LastRoutingVersion)
+    return;
+  LastRoutingVersion = state.routing().Version;
+  logEvent(LogLevel::Info, "routing_published",
+           "this instance has applied another version of the routing",
+           {{"version", std::to_string(LastRoutingVersion)},
+            {"revision", std::to_string(state.publishedRevision().Value)}});
+}
+
 void ControlDaemon::fail(absl::Status reason) {
   if (!ExitStatus.ok())
     return;
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -57,6 +57,7 @@
   void updateMembers();
   void confirmLeader(TimePoint now);
   void logRoleChange();
+  void logRouting();
   void fail(absl::Status reason);
   void finishStop(TimePoint now);
 
@@ -83,6 +84,7 @@
   TimePoint LastDeclaration{};
   TimePoint LastAdvertisement{};
   Role LastRole = Role::Follower;
+  std::uint64_t LastRoutingVersion = 0;
   std::vector<Member> LastMembers;
 };
 
--- a/Source/ControlDaemon/NodeChannel.cpp
+++ b/Source/ControlDaemon/NodeChannel.cpp
@@ -153,6 +153,14 @@
       }));
 }
 
+std::size_t NodeChannel::queuedBytes() const {
+  std::size_t n = 0;
+  for (const auto &[id, connection] : Connections)
+    for (const Bytes &it : connection.QueuedFrames)
+      n += it.size();
+  return n;
+}
+
 void NodeChannel::stop() {
   if (Server)
     Server->stop();
--- a/Source/ControlDaemon/NodeChannel.h
+++ b/Source/ControlDaemon/NodeChannel.h
@@ -42,6 +42,8 @@
   std::size_t subscribers() const;
   std::uint64_t leasesGranted() const { return LeasesGranted; }
   std::uint64_t leasesRefused() const { return LeasesRefused; }
+  /// Bytes of table updates that wait for the budgets of their connections.
+  std::size_t queuedBytes() const;
   Endpoint endpoint() const { return Server->endpoint(); }
 
 private:
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -55,6 +55,8 @@
   /// Not set if the agent reported itself as the holder of a flow that this
   /// balancer has neither placed nor searched for.
   std::optional<ServiceNameHash> Service;
+  /// When the flow was placed on the agent or the agent reported it.
+  TimePoint Since{};
 };
 
 struct FlowEntry {
@@ -232,6 +234,7 @@
           .Service = entry.Current.Service.value_or(ServiceNameHash{}),
           .Attempt = entry.Attempt,
           .NeedsConfirmation = !entry.Confirmed,
+          .HolderSince = entry.Current.Since,
           .ColdMilliflowsPerSecond = entry.ColdMilliflowsPerSecond};
 }
 
@@ -423,7 +426,7 @@
     return deferFirstPacket(entry, flow, *service, now);
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
     entry.Alternate = entry.Current;
-  entry.Current = {best->Address, 0, hashServiceName(service->name())};
+  entry.Current = {best->Address, 0, hashServiceName(service->name()), now};
   entry.ColdMilliflowsPerSecond = share->ColdMilliflowsPerSecond;
   entry.Confirmed = false;
   endSearch(entry, flow);
@@ -660,7 +663,7 @@
   recordAnswer(agent, message.Load);
   const FlowEndpoints flow{message.Caller, message.Service};
   FlowEntry &entry = findOrInsert(flow, now);
-  Holder holder{agent, message.FirstSequence, std::nullopt};
+  Holder holder{agent, message.FirstSequence, std::nullopt, now};
   if (entry.Confirmed && entry.Current.Agent != agent) {
     entry.Alternate = holder;
     return std::nullopt;
@@ -670,10 +673,12 @@
   if (entry.ResolvingSince)
     found = {entry.Searching, now - *entry.ResolvingSince};
   entry.ResolvingSince.reset();
-  if (entry.Searching)
+  if (entry.Searching) {
     holder.Service = Searches.at(flow).serviceOf(agent);
-  else if (entry.Current.Agent == agent)
+  } else if (entry.Current.Agent == agent) {
     holder.Service = entry.Current.Service;
+    holder.Since = entry.Current.Since;
+  }
   entry.Current = holder;
   entry.DeferredSince.reset();
   entry.Confirmed = true;
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -126,6 +126,9 @@
   /// The holder is not confirmed yet; the agent is asked to confirm it with a
   /// FlowHeld message.
   bool NeedsConfirmation = false;
+  /// When the flow was placed on the agent or the agent was found to hold it.
+  /// Set for RelayReason::Held and RelayReason::Placed.
+  TimePoint HolderSince{};
   /// Same meaning as in RelayedPacket.
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
 };
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -89,6 +89,8 @@
 public:
   virtual ~TcpClient() = default;
   virtual bool isOpen() const = 0;
+  /// The server of the current connection, or of the latest one.
+  virtual Endpoint server() const = 0;
   /// Sends a frame. The frame is dropped if there is no connection.
   virtual void send(std::span<const std::byte> frame) = 0;
   /// Bytes of frames that wait to be sent; 0 if there is no connection.
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -45,6 +45,7 @@
   AsioTcpClient &operator=(const AsioTcpClient &) = delete;
 
   bool isOpen() const override { return Shared->Connection != nullptr; }
+  Endpoint server() const override { return Shared->CurrentServer; }
 
   void send(std::span<const std::byte> frame) override {
     if (Shared->Connection)
@@ -204,7 +205,7 @@
     std::minstd_rand Random;
     std::shared_ptr<tcp::socket> ConnectingSocket;
     std::shared_ptr<TcpConnection> Connection;
-    /// Server of Connection.
+    /// Server of the latest connection.
     Endpoint CurrentServer;
     std::optional<std::chrono::steady_clock::time_point> LastMove;
     std::size_t NextServer = 0;
