Try the control instance next that was tried least recently

Cause: a balancer leaves a control instance that grants no lease within 0.8 s. Every instance advertises the list of instances when a connection opens, and the client shuffled the list each time and began with its first entry. So the next instance was drawn at random from all of them, the one just left included, and the table stayed old for 1 s longer each time. The time until a change was in force had no bound, only a geometric tail: 1 in 3 for each second on a site of three control instances, 1 in 8 on one of eight.

Change: the client remembers the order of its attempts and connects to the server that it tried least recently. This does not depend on the lists, which differ among instances that are cut off. Each instance that cannot grant is met once.

Test ControlLinkTest.ReturnsToAnInstanceOnlyAfterAllOthers failed before (14 returns in 12 rounds), and passes now.

--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -83,8 +83,8 @@
           TcpHandlers handlers);
 
 /// Maintains one connection to any of several servers. If a connection fails or
-/// is closed, the client connects to the next server in the list, after an
-/// exponential back-off with jitter.
+/// is closed, the client connects to the server that it tried least recently,
+/// after an exponential back-off with jitter.
 class TcpClient {
 public:
   virtual ~TcpClient() = default;
@@ -99,11 +99,11 @@
   virtual void reconnect() = 0;
   /// Replaces the configured servers. Takes effect at the next connection.
   virtual void setServers(std::vector<Endpoint> servers) = 0;
-  /// Sets the servers that the current server has advertised. The next
-  /// connection attempts try them first, in random order, and then the
-  /// configured servers. If the current server is not among them, the
-  /// connection moves to one of them after a random delay of at most 2 s. It
-  /// does so again only 10 s later, in case none of them can be reached.
+  /// Sets the servers that the current server has advertised. Those that have
+  /// not been tried are tried first, in random order, and then the configured
+  /// ones. If the current server is not among them, the connection moves to one
+  /// of them after a random delay of at most 2 s. It does so again only 10 s
+  /// later, in case none of them can be reached.
   virtual void setAdvertisedServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -32,6 +32,10 @@
 constexpr Duration MaxMoveDelay{2000};
 constexpr Duration MoveInterval{10000};
 
+/// Number of servers whose latest attempt is remembered. It exceeds the number
+/// of control instances of the largest deployments.
+constexpr std::size_t MaxTriedServers = 64;
+
 class AsioTcpClient : public TcpClient {
 public:
   AsioTcpClient(boost::asio::io_context &context, std::vector<Endpoint> servers,
@@ -70,7 +74,6 @@
     Shared->Advertised = std::move(servers);
     std::ranges::shuffle(Shared->Advertised, Shared->Random);
     Shared->rebuildServers();
-    Shared->NextServer = 0;
     Shared->moveIfNeeded();
   }
 
@@ -107,6 +110,23 @@
           });
     }
 
+    /// Returns the server that was tried least recently. Servers advertise
+    /// their list on every connection, and those that are cut off may advertise
+    /// different ones, so a position in the list would not tell which servers
+    /// have been tried.
+    Endpoint takeNextServer() {
+      const auto lastTried = [&](const Endpoint &it) {
+        const auto found = std::ranges::find(Tried, it);
+        return found == Tried.end() ? 0 : found - Tried.begin() + 1;
+      };
+      const Endpoint next = *std::ranges::min_element(Servers, {}, lastTried);
+      std::erase(Tried, next);
+      Tried.push_back(next);
+      if (Tried.size() > MaxTriedServers)
+        Tried.erase(Tried.begin());
+      return next;
+    }
+
     void moveIfNeeded() {
       const auto now = std::chrono::steady_clock::now();
       if (!Connection || Advertised.empty() ||
@@ -129,7 +149,7 @@
     void connect() {
       if (Stopped || Servers.empty())
         return;
-      const Endpoint server = Servers[NextServer++ % Servers.size()];
+      const Endpoint server = takeNextServer();
       auto socket = std::make_shared<tcp::socket>(Context);
       ConnectingSocket = socket;
       Timer.expires_after(ConnectTimeout);
@@ -199,8 +219,11 @@
     boost::asio::steady_timer MoveTimer;
     std::vector<Endpoint> Configured;
     std::vector<Endpoint> Advertised;
-    /// Advertised and then configured servers, in the order of the attempts.
+    /// Advertised and then configured servers. Those that have not been tried
+    /// are tried in this order.
     std::vector<Endpoint> Servers;
+    /// Servers in the order of their latest attempts.
+    std::vector<Endpoint> Tried;
     TcpHandlers Handlers;
     std::minstd_rand Random;
     std::shared_ptr<tcp::socket> ConnectingSocket;
@@ -208,7 +231,6 @@
     /// Server of the latest connection.
     Endpoint CurrentServer;
     std::optional<std::chrono::steady_clock::time_point> LastMove;
-    std::size_t NextServer = 0;
     std::uint64_t LastId = 0;
     Duration BackOff = InitialBackOff;
     /// Connection attempts since the last received frame.
--- a/Source/UnitTests/Balancer/ControlLinkTest.cpp
+++ b/Source/UnitTests/Balancer/ControlLinkTest.cpp
@@ -7,12 +7,19 @@
 namespace pistachio {
 namespace {
 
-/// A control instance that answers every lease request with the same validity.
+/// A control instance that answers every lease request with the same validity
+/// and advertises the instances of Advertised on each new connection.
 class FakeControl {
 public:
   FakeControl(boost::asio::io_context &context, std::uint32_t validMs) {
     TcpHandlers handlers;
-    handlers.OnOpen = [](ConnectionId) {};
+    handlers.OnOpen = [this](ConnectionId from) {
+      ++Connections;
+      Bytes buf;
+      if (!Advertised.empty() &&
+          encodeNode(ControlInstances{Advertised}, buf).ok())
+        Server->send(from, buf);
+    };
     handlers.OnClose = [](ConnectionId) {};
     handlers.OnFrame = [this, validMs](ConnectionId from,
                                        std::span<const std::byte> frame) {
@@ -31,6 +38,8 @@
   }
 
   std::unique_ptr<TcpServer> Server;
+  std::vector<Endpoint> Advertised;
+  int Connections = 0;
   int Requests = 0;
 };
 
@@ -64,6 +73,55 @@
   link.stop();
 }
 
+// Guards against the CONFIG incident of 5 December 2026: each instance
+// advertised the same instances in a new random order, so a balancer could
+// return several times to one that is cut off and keep an old table for longer
+// than changes may take to be in force.
+TEST(ControlLinkTest, ReturnsToAnInstanceOnlyAfterAllOthers) {
+  constexpr std::size_t CutOffInstances = 3;
+  // A random order passes one round with a probability of 0.4.
+  constexpr int Rounds = 12;
+  boost::asio::io_context context(1);
+  std::vector<std::unique_ptr<FakeControl>> all;
+  std::vector<Endpoint> addresses;
+  for (std::size_t i = 0; i <= CutOffInstances; ++i) {
+    all.push_back(
+        std::make_unique<FakeControl>(context, i < CutOffInstances ? 0 : 800));
+    addresses.push_back(all.back()->Server->endpoint());
+  }
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    // Instances that are cut off differ in what they know of the group.
+    all[i]->Advertised = addresses;
+    if (i + 1 < CutOffInstances)
+      all[i]->Advertised.erase(all[i]->Advertised.begin() +
+                               static_cast<std::ptrdiff_t>(i) + 1);
+  }
+  for (int round = 0; round < Rounds; ++round) {
+    for (const auto &it : all)
+      it->Connections = it->Requests = 0;
+    ControlLink link(context,
+                     {"balancer-1", "dc-a", {0x7F000001, 1}, {addresses[0]}},
+                     {[] {}, [](const LeaseGrant &, TimePoint) {}});
+    int connections = 0;
+    while (all.back()->Requests == 0) {
+      ++connections;
+      ASSERT_TRUE(runUntil(context, [&] {
+        int requests = 0;
+        for (const auto &it : all)
+          requests += it->Requests;
+        return requests >= connections;
+      }));
+      // The handlers of the frames that the instance sends on opening run
+      // before its answer is read.
+      link.renewLease(steadyNow() + Duration(1500));
+    }
+    for (std::size_t i = 0; i < CutOffInstances; ++i)
+      EXPECT_LE(all[i]->Connections, 1) << "instance " << i;
+    link.stop();
+    context.run_for(std::chrono::milliseconds(20));
+  }
+}
+
 /// A control instance without a table that advertises another instance and
 /// closes the connection.
 class FakeRedirect {
