Place first packets by the table in force, not by a remembered holder

A balancer forwarded the first packet of flow endpoints that it knew to the former holder. If the route had changed meanwhile, a new connection went to a service that the route no longer names, and the agent could not tell, since the balancer named the agent's own service. The same held for a first packet that an agent gave back while another holder was known.

Change: a first packet follows a known holder only if the route still sends new flows to its service. A first packet with another sequence number opens another connection, and is placed anew. A holder that loses its place to a copy of the first packet stays as the alternative, so that the open flow is not cut off.

Evidence: the rows of ChangedRouteTest (5), CopyOfAFirstPacketKeepsTheOpenFlowOfAFormerService and NewConnectionOfAKnownFlowIsPlacedAnew failed before and pass now.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -65,6 +65,9 @@
   Holder Current;
   /// Another agent whose upstream accepted a copy of the first packet.
   Holder Alternate;
+  /// Sequence number of the caller's latest first packet, if this balancer has
+  /// seen one. Another one opens another connection with the same endpoints.
+  std::optional<std::uint32_t> OpeningSequence;
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
   bool Confirmed = false;
   /// The flow has an entry in FlowRouterImpl::Searches.
@@ -140,6 +143,16 @@
   }
 }
 
+/// Returns whether the route sends new flows to the service of the holder.
+bool takesNewFlows(const Holder &holder, const RouteRecord &route,
+                   const ServiceTable &table) {
+  return std::ranges::any_of(route.Shares, [&](const RouteShare &it) {
+    const Service *service = table.find(it.Service);
+    return it.Weight > 0 && service != nullptr &&
+           holder.Service == hashServiceName(service->name());
+  });
+}
+
 class FlowRouterImpl final : public FlowRouter {
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
@@ -170,7 +183,7 @@
   std::size_t flowCount() const override { return Flows.size(); }
 
 private:
-  RelayDecision routeFirstPacket(const FlowEndpoints &flow,
+  RelayDecision routeFirstPacket(const FlowPacket &packet,
                                  const RouteRecord &route,
                                  const ServiceTable &table, TimePoint now);
   RelayDecision placeFlow(FlowEntry &entry, const FlowEndpoints &flow,
@@ -305,7 +318,7 @@
                       packet.Resets ? RelayAction::Drop : RelayAction::Reset,
                       RelayReason::NoRoute);
   if (packet.Opens)
-    return routeFirstPacket(flow, *route, table, now);
+    return routeFirstPacket(packet, *route, table, now);
   FlowEntry &entry = findOrInsert(flow, now);
   entry.LastPacketAt = now;
   if (entry.LostAt && now - *entry.LostAt < LostFlowRetention)
@@ -324,16 +337,24 @@
   return search(entry, flow, *route, table, now);
 }
 
-RelayDecision FlowRouterImpl::routeFirstPacket(const FlowEndpoints &flow,
+RelayDecision FlowRouterImpl::routeFirstPacket(const FlowPacket &packet,
                                                const RouteRecord &route,
                                                const ServiceTable &table,
                                                TimePoint now) {
+  const FlowEndpoints flow{packet.Source, packet.Destination};
   FlowEntry &entry = findOrInsert(flow, now);
+  if (entry.OpeningSequence && entry.OpeningSequence != packet.Sequence) {
+    endSearch(entry, flow);
+    entry = {};
+  }
+  entry.OpeningSequence = packet.Sequence;
   entry.LastPacketAt = now;
   entry.LostAt.reset();
   if (!entry.Confirmed && !entry.ResolvingSince)
     entry.ResolvingSince = now;
-  if (entry.Current.Agent.Port != 0) {
+  resolveServices(entry, route, table);
+  if (entry.Current.Agent.Port != 0 &&
+      takesNewFlows(entry.Current, route, table)) {
     if (entry.Confirmed || now - entry.ForwardedAt < Options.AnswerTimeout)
       return forwardDecision(entry, RelayReason::Held);
     recordTimeout(entry.Current.Agent, now);
@@ -627,7 +648,8 @@
   resolveServices(entry, *route, table);
   const bool isFromHolder = entry.Current.Agent == agent;
   // The flow has been placed or found on another agent in the meantime.
-  if (entry.Current.Agent.Port != 0 && !isFromHolder)
+  if (entry.Current.Agent.Port != 0 && !isFromHolder &&
+      (!packet.Opens || takesNewFlows(entry.Current, *route, table)))
     return forwardToHolder(entry, visitedAgents);
   if (packet.Opens) {
     status.AvoidUntil = now + Duration(message.RetryAfterMs);
@@ -678,6 +700,8 @@
   } else if (entry.Current.Agent == agent) {
     holder.Service = entry.Current.Service;
     holder.Since = entry.Current.Since;
+  } else if (entry.Current.FirstSequence != 0) {
+    entry.Alternate = entry.Current;
   }
   entry.Current = holder;
   entry.DeferredSince.reset();
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -145,6 +145,89 @@
     EXPECT_EQ(queried[i].Service, hashServiceName("a"));
 }
 
+/// What the balancer knows of a flow when the route changes to service "b".
+enum class KnownFlow : std::uint8_t {
+  /// An agent of "a" was sent the first packet and has not answered yet.
+  Placed,
+  /// An agent of "a" holds the flow, which this balancer placed.
+  Held,
+  /// An agent of "a" reported a flow that this balancer did not place.
+  Reported
+};
+
+struct ChangedRouteCase {
+  const char *Name;
+  KnownFlow Known;
+  /// Sequence number of the first packet that arrives after the change. The
+  /// one before it had 100.
+  std::uint32_t Sequence;
+};
+
+class ChangedRouteTest : public FlowRouterTest,
+                         public testing::WithParamInterface<ChangedRouteCase> {
+};
+
+// Guards against the CONFIG incident of 5 December 2026: a first packet that
+// goes to the service of a former routing, because the balancer remembers a
+// connection with the same endpoints.
+TEST_P(ChangedRouteTest, FirstPacketsGoByTheTableInForce) {
+  const ChangedRouteCase &it = GetParam();
+  const FlowPacket first = firstPacket(1, RouteAddress, 100);
+  if (it.Known != KnownFlow::Reported) {
+    ASSERT_EQ(routeFromCaller(first).Service, hashServiceName("a"));
+  }
+  if (it.Known != KnownFlow::Placed)
+    confirmHolder(1, agentEndpoint(1));
+  TableUpdate update;
+  update.Routes = {{RouteAddress, {{{2}, 1}}, {{1}}}};
+  Table.apply(std::move(update));
+  Now += Duration(10);
+  const RelayDecision decision =
+      routeFromCaller(firstPacket(1, RouteAddress, it.Sequence));
+  ASSERT_EQ(decision.Action, RelayAction::Forward);
+  EXPECT_EQ(decision.Service, hashServiceName("b"));
+  EXPECT_EQ(decision.Agent, agentEndpoint(100));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, ChangedRouteTest,
+    testing::Values(
+        ChangedRouteCase{"CopyOfAPlacedOne", KnownFlow::Placed, 100},
+        ChangedRouteCase{"AfterAPlacedOne", KnownFlow::Placed, 900},
+        ChangedRouteCase{"CopyOfAHeldOne", KnownFlow::Held, 100},
+        ChangedRouteCase{"AfterAHeldOne", KnownFlow::Held, 900},
+        ChangedRouteCase{"OfAReportedOne", KnownFlow::Reported, 100}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
+// Guards against cutting off an open flow of a former service when a delayed
+// copy of its first packet is placed on the service of the changed route.
+TEST_F(FlowRouterTest, CopyOfAFirstPacketKeepsTheOpenFlowOfAFormerService) {
+  routeFromCaller(firstPacket(1));
+  confirmHolder(1, agentEndpoint(1), 5000);
+  TableUpdate update;
+  update.Routes = {{RouteAddress, {{{2}, 1}}, {{1}}}};
+  Table.apply(std::move(update));
+  EXPECT_EQ(routeFromCaller(firstPacket(1)).Agent, agentEndpoint(100));
+  EXPECT_EQ(routeFromCaller(dataPacket(1, 5001)).Agent, agentEndpoint(1));
+  confirmHolder(1, agentEndpoint(100), 900'000'000);
+  EXPECT_EQ(routeFromCaller(dataPacket(1, 5002)).Agent, agentEndpoint(1));
+}
+
+// Guards against new flows for an upstream that drains, because the balancer
+// remembers a connection with the same endpoints.
+TEST_F(FlowRouterTest, NewConnectionOfAKnownFlowIsPlacedAnew) {
+  const RelayDecision first =
+      routeFromCaller(firstPacket(1, RouteAddress, 100));
+  confirmHolder(1, first.Agent);
+  for (std::uint32_t id = 1; id <= 6; ++id)
+    if (agentEndpoint(id) == first.Agent)
+      Table.setState(id, UpstreamState::Draining);
+  EXPECT_EQ(routeFromCaller(firstPacket(1, RouteAddress, 100)).Agent,
+            first.Agent);
+  EXPECT_NE(routeFromCaller(firstPacket(1, RouteAddress, 900)).Agent,
+            first.Agent);
+}
+
 struct NoRouteCase {
   const char *Name;
   bool HasTable;
--- a/Source/UnitTests/Relay/RelayTestSupport.h
+++ b/Source/UnitTests/Relay/RelayTestSupport.h
@@ -66,11 +66,13 @@
 }
 
 inline FlowPacket firstPacket(std::uint16_t caller,
-                              const Endpoint &route = RouteAddress) {
+                              const Endpoint &route = RouteAddress,
+                              std::uint32_t sequence = 0) {
   FlowPacket packet;
   packet.Source = callerEndpoint(caller);
   packet.Destination = route;
   packet.Opens = true;
+  packet.Sequence = sequence;
   return packet;
 }
 
