Admit a new connection of known endpoints like any other

The twin at the agent: a first packet whose endpoints the agent knew was delivered without admission, also if the upstream drained, its data centre was out or its cold bound was reached. Copies are told by their sequence number now; any other first packet is admitted or declined. A flow is forgotten only once its successor is admitted.

UpstreamRelayTest.NewConnectionOfAKnownFlowIsAdmittedAnew failed before and passes now.

--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -78,6 +78,9 @@
   Endpoint Balancer;
   /// First sequence number of the upstream; 0 if the agent has not seen it.
   std::uint32_t FirstSequence = 0;
+  /// Sequence number of the caller's first packet, if the agent has seen it.
+  /// Another one opens another connection with the same endpoints.
+  std::optional<std::uint32_t> OpeningSequence;
   TimePoint LastPacketAt{};
   TimePoint BusySince{};
   /// Sequence number after the last data of the caller seen so far.
@@ -476,10 +479,14 @@
                                const Endpoint &balancer, TimePoint now,
                                RelayOutput &out) {
   const FlowEndpoints endpoints{packet.Source, packet.Destination};
-  if (Flow *flow = find(endpoints)) {
-    flow->Balancer = balancer;
-    flow->LastPacketAt = now;
-    flow->HolderReported = false;
+  Flow *known = find(endpoints);
+  const bool isCopy =
+      known != nullptr &&
+      known->OpeningSequence.value_or(packet.Sequence) == packet.Sequence;
+  if (isCopy) {
+    known->Balancer = balancer;
+    known->LastPacketAt = now;
+    known->HolderReported = false;
     return deliver(message, balancer, out);
   }
   ColdMilliflowsPerSecond = message.ColdMilliflowsPerSecond;
@@ -488,7 +495,12 @@
                             std::move(message.Packet), balancer, out);
   if (now < ColdUntil)
     ColdOpens.push_back(now);
+  if (known != nullptr) {
+    erase(endpoints);
+    removePendingOpen(endpoints);
+  }
   Flow &flow = insert(endpoints, now);
+  flow.OpeningSequence = packet.Sequence;
   flow.Balancer = balancer;
   // The flow counts as busy because its first request is expected.
   setBusy(flow, true, now);
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -362,6 +362,24 @@
   EXPECT_EQ(messageOf<ReturnedPacket>(output)->Reason, ReturnReason::NotHeld);
 }
 
+// Guards against new flows for an upstream that accepts none any more, because
+// its agent remembers a connection with the same endpoints.
+TEST_F(UpstreamRelayTest, NewConnectionOfAKnownFlowIsAdmittedAnew) {
+  report(makeReport());
+  relayPacket(firstPacket(1, RouteAddress, 100));
+  sendFromUpstream(fromUpstream(1, true, 500));
+  UpstreamReport draining = makeReport(2);
+  draining.Draining = true;
+  report(draining);
+  EXPECT_TRUE(packetTo(relayPacket(firstPacket(1, RouteAddress, 100))));
+  const auto returned =
+      messageOf<ReturnedPacket>(relayPacket(firstPacket(1, RouteAddress, 900)));
+  ASSERT_TRUE(returned);
+  EXPECT_EQ(returned->Reason, ReturnReason::Declined);
+  // The flow that the upstream may still hold is not forgotten.
+  EXPECT_TRUE(messageOf<FlowHeld>(query(1)));
+}
+
 // Guards against losing first packets at an upstream that hangs.
 TEST_F(UpstreamRelayTest, UnansweredFirstPacketsAreReturned) {
   report(makeReport());
