Wait for the client's answer in the test of least recently tried instances

The test counted requests at the servers, and the client might not have read the advertised list by then: a balancer that knows only its first instance may return to it. It counts answers at the client now, which arrive after the list. The assertion is the same.

--- a/Source/UnitTests/Balancer/ControlLinkTest.cpp
+++ b/Source/UnitTests/Balancer/ControlLinkTest.cpp
@@ -99,20 +99,13 @@
   for (int round = 0; round < Rounds; ++round) {
     for (const auto &it : all)
       it->Connections = it->Requests = 0;
-    ControlLink link(context,
-                     {"balancer-1", "dc-a", {0x7F000001, 1}, {addresses[0]}},
-                     {[] {}, [](const LeaseGrant &, TimePoint) {}});
-    int connections = 0;
-    while (all.back()->Requests == 0) {
-      ++connections;
-      ASSERT_TRUE(runUntil(context, [&] {
-        int requests = 0;
-        for (const auto &it : all)
-          requests += it->Requests;
-        return requests >= connections;
-      }));
-      // The handlers of the frames that the instance sends on opening run
-      // before its answer is read.
+    // An answer arrives after the list that the instance advertises.
+    int answers = 0;
+    ControlLink link(
+        context, {"balancer-1", "dc-a", {0x7F000001, 1}, {addresses[0]}},
+        {[] {}, [&](const LeaseGrant &, TimePoint) { ++answers; }});
+    for (int n = 1; all.back()->Requests == 0; ++n) {
+      ASSERT_TRUE(runUntil(context, [&] { return answers == n; }));
       link.renewLease(steadyNow() + Duration(1500));
     }
     for (std::size_t i = 0; i < CutOffInstances; ++i)
