--- a/review/2/Scenario.cpp
+++ b/review/2/Scenario.cpp
@@ -6,7 +6,9 @@
 
 #include "../Harness.h"
 
+#include <algorithm>
 #include <csignal>
+#include <optional>
 
 using namespace review;
 
@@ -15,6 +17,8 @@
 constexpr Milliseconds EvacuateMs = 5000;
 constexpr Milliseconds StabilityWindowMs = 4000;
 constexpr Milliseconds FreezeMs = 7000;
+/// A round breaks the rule unless the machine takes long to find the leader.
+constexpr int Rounds = 3;
 constexpr std::uint16_t RoutePort = 8443;
 
 std::string configBody(const Deployment &site) {
@@ -53,6 +57,66 @@
   return n;
 }
 
+/// Takes zone-a out, back and out again; one machine is frozen from before the
+/// second order until after the third. Returns how many flows reached a server
+/// of the zone although the last evacuation should be in force.
+std::optional<std::size_t>
+evacuateTwice(World &world, Deployment &site, const Callers &callers,
+              const std::vector<std::unique_ptr<Upstream>> &upstreams) {
+  const std::string path = "/-/evacuation/zone-a";
+  if (site.order("POST", path, "", 0, 5000) < 0)
+    return std::nullopt;
+  world.runFor(EvacuateMs + 1000);
+  if (openedInZone(callers, upstreams, site, "zone-a", world.now() - 1000) >
+      0) {
+    world.record("the first evacuation is not in force");
+    return std::nullopt;
+  }
+  world.record("the first evacuation is in force");
+
+  const int leader = site.leader();
+  if (leader < 0)
+    return std::nullopt;
+  const std::size_t frozen = (static_cast<std::size_t>(leader) + 1) % 3;
+  const Machine &machine = site.Fronts[frozen];
+  world.record("control leads at " +
+               site.Fronts[static_cast<std::size_t>(leader)].Name);
+  const Milliseconds frozenAt = world.now();
+  if (withTrouble()) {
+    world.record("freeze of " + machine.Name);
+    site.signalAll(machine, SIGSTOP);
+  }
+  if (site.order("DELETE", path, "", frozen, 5000) < 0)
+    return std::nullopt;
+  world.runFor(3000);
+  const Milliseconds evacuatedAt =
+      site.order("POST", path, "", static_cast<std::size_t>(leader), 5000);
+  if (evacuatedAt < 0)
+    return std::nullopt;
+  world.record("the second evacuation is acknowledged");
+  world.runFor(std::max<Milliseconds>(0, frozenAt + FreezeMs - world.now()));
+  const Milliseconds wokenAt = world.now();
+  if (withTrouble()) {
+    world.record(machine.Name + " wakes");
+    site.signalAll(machine, SIGCONT);
+  }
+  const Milliseconds judgedFrom =
+      std::max(evacuatedAt + EvacuateMs, wokenAt + StabilityWindowMs);
+  world.runFor(judgedFrom + 6000 - world.now());
+  const std::size_t broken =
+      openedInZone(callers, upstreams, site, "zone-a", judgedFrom);
+  world.record("EVAC: flows that reached a server in zone-a, sent more than " +
+               std::to_string(judgedFrom - evacuatedAt) +
+               " ms after the evacuation was acknowledged and before it was "
+               "taken back: " +
+               std::to_string(broken));
+  if (site.order("DELETE", path, "", static_cast<std::size_t>(leader), 5000) <
+      0)
+    return std::nullopt;
+  world.runFor(4000);
+  return broken;
+}
+
 int run(const std::string &folder) {
   World world(folder + "/record.txt");
   const TemporaryFolder temporary;
@@ -85,57 +149,19 @@
   world.record("all zones serve");
   world.runFor(3000);
 
-  const std::string path = "/-/evacuation/zone-a";
-  if (site.order("POST", path, "", 0, 5000) < 0)
-    return CouldNotRun;
-  world.runFor(EvacuateMs);
-  if (servesZone("zone-a")) {
-    world.record("the first evacuation is not in force");
-    return CouldNotRun;
-  }
-  world.record("the first evacuation is in force");
-
-  const int leader = site.leader();
-  if (leader < 0)
-    return CouldNotRun;
-  const std::size_t frozen = (static_cast<std::size_t>(leader) + 1) % 3;
-  const Machine &machine = site.Fronts[frozen];
-  world.record("control leads at " + site.Fronts[leader].Name);
-  const Milliseconds frozenAt = world.now();
-  if (withTrouble()) {
-    world.record("freeze of " + machine.Name);
-    site.signalAll(machine, SIGSTOP);
-  }
-  if (site.order("DELETE", path, "", frozen, 5000) < 0)
-    return CouldNotRun;
-  world.runFor(3000);
-  world.record(servesZone("zone-a") ? "zone-a serves again"
-                                    : "zone-a does not serve yet");
-  const Milliseconds evacuatedAt = site.order("POST", path, "", leader, 5000);
-  if (evacuatedAt < 0)
-    return CouldNotRun;
-  world.record("the second evacuation is acknowledged");
-  world.runFor(std::max<Milliseconds>(0, frozenAt + FreezeMs - world.now()));
-  const Milliseconds wokenAt = world.now();
-  if (withTrouble()) {
-    world.record(machine.Name + " wakes");
-    site.signalAll(machine, SIGCONT);
+  std::size_t broken = 0;
+  for (int round = 0; round < Rounds && broken == 0; ++round) {
+    const std::optional<std::size_t> found =
+        evacuateTwice(world, site, callers, upstreams);
+    if (!found)
+      return CouldNotRun;
+    broken = *found;
   }
-  const Milliseconds judgedFrom =
-      std::max(evacuatedAt + EvacuateMs, wokenAt + StabilityWindowMs);
-  world.runFor(judgedFrom + 6000 - world.now());
-  const std::size_t broken =
-      openedInZone(callers, upstreams, site, "zone-a", judgedFrom);
   std::size_t answered = 0;
   for (const Callers::Flow &it : callers.Flows)
     answered += it.Answers;
   world.record("flows opened: " + std::to_string(callers.Flows.size()) +
                ", requests answered: " + std::to_string(answered));
-  world.record("EVAC: flows that reached a server in zone-a, sent more than " +
-               std::to_string(judgedFrom - evacuatedAt) +
-               " ms after the evacuation was acknowledged and before it was "
-               "taken back: " +
-               std::to_string(broken));
   return broken > 0 ? Broken : Held;
 }
 
--- a/review/3/Scenario.cpp
+++ b/review/3/Scenario.cpp
@@ -78,7 +78,7 @@
                                    site.Options.Zones.size()]);
       world.record("a server is added");
     }
-    world.runFor(1200);
+    world.runFor(1000);
     const std::size_t firstFlow = callers.Flows.size();
     for (int i = 0; i < FlowsInRound; ++i) {
       callers.open(site.route(RoutePort), 100);
