Promote any learner that has caught up, and remove learners that are gone

Once two of the old voters were gone, one as planned, every read of the acknowledged config and every order got 503, for good.

Cause: GroupMembership::tick looked at the first learner only. While there was one, it tried to promote it and returned. A learner that is gone is never promoted, so it hid all later learners, and it also hid the voters and relays that had gone, because removeSilentMembers() came after it. Learners were removed only after 30 s, the limit for relays, and only by that function.

The class is wider than the case: a learner that runs but never catches up (slow link or disk) hid the others in the same way.

Ruled out: a learner that lost its disk and returns at its address does not stay beside its former self, since addLearner() removes the entry of any non-voter at the address (LearnerThatLostItsDiskIsListedOnce, which passed before). A voter that is lost between its promotion and its first reply was repaired before as well (the rows *NewVoterLost).

Change: each tick promotes the first learner that has caught up, and looks for silent members if there is none. A silent learner is removed after 4 s.

--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -12,7 +12,12 @@
 /// Longer than an election plus a short restart of its process.
 constexpr Duration SilentVoterTimeout{4000};
 
-/// A relay that is removed joins again by itself when it returns.
+/// A learner has no vote, so its removal does not weaken the group. If it
+/// returns, it joins again by itself.
+constexpr Duration SilentLearnerTimeout{4000};
+
+/// Longer than that of a learner: a relay never becomes a voter, and every
+/// restart of its process would otherwise change the membership twice.
 constexpr Duration SilentRelayTimeout{30000};
 
 /// With fewer voters, a silent voter is not removed: the smaller group could
@@ -126,32 +131,42 @@
   if (!Control.isLeader())
     return;
   const std::vector<Member> members = Control.node().members();
-  const auto learner = std::ranges::find_if(
-      members, [](const Member &it) { return !it.Voter && !it.Relay; });
-  if (learner != members.end()) {
-    // Fails until the learner has caught up, and is repeated in the next tick.
-    (void)Control.changeMembership(
-        now, [&](ConsensusNode &node, ConsensusOutput &output) {
-          return node.promote(learner->Id, now, output);
-        });
-    return;
-  }
-  removeSilentMembers(members, now);
+  if (!promoteLearner(members, now))
+    removeSilentMember(members, now);
 }
 
-void GroupMembership::removeSilentMembers(std::span<const Member> members,
-                                          TimePoint now) {
+/// Promotes the first learner that has caught up. A learner that is gone or
+/// slow must not delay the promotion of others.
+bool GroupMembership::promoteLearner(std::span<const Member> members,
+                                     TimePoint now) {
+  return std::ranges::any_of(members, [&](const Member &it) {
+    return !it.Voter && !it.Relay &&
+           Control
+               .changeMembership(
+                   now,
+                   [&](ConsensusNode &node, ConsensusOutput &output) {
+                     return node.promote(it.Id, now, output);
+                   })
+               .ok();
+  });
+}
+
+Duration GroupMembership::silenceTimeout(const Member &member) {
+  if (member.Voter)
+    return SilentVoterTimeout;
+  return member.Relay ? SilentRelayTimeout : SilentLearnerTimeout;
+}
+
+void GroupMembership::removeSilentMember(std::span<const Member> members,
+                                         TimePoint now) {
   const auto voters =
       static_cast<std::size_t>(std::ranges::count_if(members, &Member::Voter));
   for (const Member &it : members) {
     const std::optional<TimePoint> contact = Control.node().lastContact(it.Id);
     if (!contact)
       continue;
-    const Duration silent = now - *contact;
-    const bool isExpired =
-        it.Voter ? silent >= SilentVoterTimeout && voters >= MinVotersForRemoval
-                 : silent >= SilentRelayTimeout;
-    if (isExpired)
+    const bool isDispensable = !it.Voter || voters >= MinVotersForRemoval;
+    if (isDispensable && now - *contact >= silenceTimeout(it))
       return remove(it, now);
   }
 }
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -60,7 +60,11 @@
   void bootstrapGroup(TimePoint now);
   bool isInGroup() const;
   bool isLowestSeed() const;
-  void removeSilentMembers(std::span<const Member> members, TimePoint now);
+  /// Returns whether the promotion of a learner has begun.
+  bool promoteLearner(std::span<const Member> members, TimePoint now);
+  /// How long a member may be without contact before it is removed.
+  static Duration silenceTimeout(const Member &member);
+  void removeSilentMember(std::span<const Member> members, TimePoint now);
   void remove(const Member &member, TimePoint now);
 
   ReplicatedControl &Control;
