Reset a flow only after control has confirmed the table

Cause: "none of the upstreams in my table holds the flow" was taken as proof that nobody does. The balancer's table may be older than the flow: a control instance that has just started publishes the state of its disk until the leader reaches it again, and a later packet can also overtake the update at a balancer that is only milliseconds behind. The same conclusion was drawn for an open flow whose route is not in the table.

Ruled out: readiness alone. A balancer that waits for a current table before it reports ready is current at that moment only; the flow may be opened later.

Change: before a balancer resets a flow because it knows no holder or no route, it asks control for the latest committed revision (TableQuery). A control instance replies only after the leader has confirmed its lease and its commit index after the query, and the instance has applied that index. The reset needs a reply to a query that was sent after the packet arrived, and a table at that revision; a later table continues the search. Queries are sent for undecided flows only, at most 20 a second from a balancer, and share one query to the leader. While control cannot be reached, the reset comes after 3 s, with the reason "unconfirmed". A balancer that knew the holder of a flow has had its route, so it resets the flow at once when the route is removed.

The new message types are the last of their family; control instances are upgraded before balancers.

ConfirmsTablesOnlyWhileThereIsALeader and RepeatsAQueryForTheLatestRevision test the two ends with sockets. The fixtures of older router tests confirm their tables; their assertions are unchanged. The row Data of NoRouteTest now says that the table is confirmed, and a row without the confirmation stands beside it.

--- a/Source/Balancer/ControlLink.cpp
+++ b/Source/Balancer/ControlLink.cpp
@@ -11,6 +11,11 @@
 /// from the leader.
 constexpr Duration GrantTimeout{800};
 
+/// Minimum interval between two queries for the latest revision.
+constexpr Duration TableQueryInterval{50};
+/// A query without a reply for this long is repeated.
+constexpr Duration TableQueryTimeout{250};
+
 } // namespace
 
 ControlLink::ControlLink(boost::asio::io_context &context,
@@ -21,7 +26,10 @@
   tcp.OnFrame = [this](ConnectionId, std::span<const std::byte> frame) {
     onFrame(frame);
   };
-  tcp.OnClose = [this](ConnectionId) { PendingRequestTimes.clear(); };
+  tcp.OnClose = [this](ConnectionId) {
+    PendingRequestTimes.clear();
+    IsQueryOutstanding = false;
+  };
   Client = connectTcp(context, Options.Control, std::move(tcp));
 }
 
@@ -66,6 +74,19 @@
   requestLease(now);
 }
 
+void ControlLink::queryTable(TimePoint now) {
+  const Duration pause =
+      IsQueryOutstanding ? TableQueryTimeout : TableQueryInterval;
+  if (!Client->isOpen() || (LastQueryAt && now - *LastQueryAt < pause))
+    return;
+  Bytes buf;
+  if (!encodeNode(TableQuery{++LastQuery}, buf).ok())
+    return;
+  LastQueryAt = now;
+  IsQueryOutstanding = true;
+  Client->send(buf);
+}
+
 void ControlLink::onFrame(std::span<const std::byte> frame) {
   const auto message = decodeNode(frame);
   if (!message.ok()) {
@@ -78,6 +99,15 @@
     return onUpdate(*update);
   if (const auto *instances = std::get_if<ControlInstances>(&*message))
     return Client->setAdvertisedServers(instances->Addresses);
+  if (const auto *confirmed = std::get_if<TableConfirmation>(&*message)) {
+    // The reply to an earlier query may still arrive after the next one.
+    if (confirmed->Query != LastQuery || !IsQueryOutstanding)
+      return;
+    IsQueryOutstanding = false;
+    if (Callbacks.OnConfirmed)
+      Callbacks.OnConfirmed(*LastQueryAt, confirmed->CommittedRevision);
+    return;
+  }
   const auto *grant = std::get_if<LeaseGrant>(&*message);
   if (grant == nullptr || PendingRequestTimes.empty())
     return;
--- a/Source/Balancer/ControlLink.h
+++ b/Source/Balancer/ControlLink.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace pistachio {
 
@@ -24,6 +25,9 @@
   struct Handlers {
     std::function<void()> OnTable;
     std::function<void(const LeaseGrant &, TimePoint sentAt)> OnGrant;
+    /// Control has confirmed that no revision after \p committed had been
+    /// committed at \p askedAt.
+    std::function<void(TimePoint askedAt, Revision committed)> OnConfirmed{};
   };
 
   ControlLink(boost::asio::io_context &context, ControlLinkOptions options,
@@ -33,6 +37,9 @@
   /// Requests a lease. If none was granted within GrantTimeout, it connects to
   /// the next control instance instead.
   void renewLease(TimePoint now);
+  /// Asks control for the latest committed revision. Does nothing while a
+  /// query is outstanding, or shortly after the latest one.
+  void queryTable(TimePoint now);
   /// Sets the control instances for the next connection.
   void setControl(std::vector<Endpoint> control) {
     Client->setServers(std::move(control));
@@ -52,6 +59,10 @@
   /// of the requests.
   std::deque<TimePoint> PendingRequestTimes;
   TimePoint LastGrantAt{};
+  /// The latest TableQuery, and when it was sent.
+  std::uint32_t LastQuery = 0;
+  std::optional<TimePoint> LastQueryAt;
+  bool IsQueryOutstanding = false;
   std::unique_ptr<TcpClient> Client;
 };
 
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -41,6 +41,9 @@
                                   "Packets that agents gave back")),
         Queries(registry.counter("pistachio_balancer_queries_total",
                                  "Datagrams with queries for holders")),
+        TableConfirmations(
+            registry.counter("pistachio_balancer_table_confirmations_total",
+                             "Answers of control about the latest revision")),
         Flows(registry.gauge("pistachio_balancer_flows", "Flows remembered")),
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
@@ -68,6 +71,7 @@
   Counter &Held;
   Counter &Returned;
   Counter &Queries;
+  Counter &TableConfirmations;
   Gauge &Flows;
   Gauge &Revision;
   Gauge &CommittedRevision;
@@ -134,6 +138,9 @@
         static_cast<double>(CommittedRevision.Value));
     checkTableAge(LastGrantAt);
   };
+  handlers.OnConfirmed = [this](TimePoint askedAt, Revision committed) {
+    onTableConfirmed(askedAt, committed);
+  };
   Control = std::make_unique<ControlLink>(
       Context,
       ControlLinkOptions{Settings.Name, Settings.DataCentre,
@@ -163,6 +170,23 @@
   Instruments->Revision.set(static_cast<double>(table->revision().Value));
   Instruments->Upstreams.set(static_cast<double>(table->upstreamCount()));
   retryDeferred();
+  pollSearches();
+}
+
+void RelayBalancer::onTableConfirmed(TimePoint askedAt, Revision committed) {
+  Instruments->TableConfirmations.add();
+  const TimePoint now = steadyNow();
+  logEvent(LogLevel::Info, "table_confirmed", "",
+           {{"committed", std::to_string(committed.Value)},
+            {"revision", std::to_string(Control->table()->revision().Value)},
+            {"asked_ms", std::to_string((now - askedAt).count())}});
+  Router->confirmTable(askedAt, committed);
+  pollSearches();
+}
+
+void RelayBalancer::queryTableIfNeeded() {
+  if (Router->needsConfirmedTable())
+    Control->queryTable(steadyNow());
 }
 
 void RelayBalancer::checkTableAge(TimePoint now) {
@@ -273,7 +297,7 @@
   // Later packets of flows with a known holder, and those that wait for the
   // replies of a search, are counted but not logged.
   if ((decision.Reason == RelayReason::Held && !packet.Opens) ||
-      (decision.Action == RelayAction::Query && decision.Queries.empty()))
+      (decision.Reason == RelayReason::Search && decision.Queries.empty()))
     return;
   const std::string_view event =
       decision.Action == RelayAction::Forward ? "flow_routed"
@@ -319,7 +343,8 @@
   }
   if (decision.Action == RelayAction::Query) {
     KeptForSearch.add(flow, buf, arrived);
-    return sendQueries(decision, flow);
+    sendQueries(decision, flow);
+    return queryTableIfNeeded();
   }
   if (decision.Action == RelayAction::Forward)
     sendToAgents(decision, buf);
@@ -373,16 +398,18 @@
 
 void RelayBalancer::applyToKeptPacket(const RelayDecision &decision,
                                       const FlowEndpoints &flow) {
-  if (decision.Action == RelayAction::Query)
+  if (decision.Reason == RelayReason::Search &&
+      decision.Action == RelayAction::Query)
     return sendQueries(decision, flow);
-  // A packet that is sent to agents in a search stays, because the search may
-  // go on.
   const DeferredPackets::Packet *kept = KeptForSearch.find(flow);
   if (kept == nullptr)
     return;
   if (const auto packet = Format->decode(kept->Data))
-    applyDecision(decision, *packet, kept->Data, kept->Arrived);
-  if (decision.Action != RelayAction::Forward)
+    applyDecision(decision, *packet, Bytes(kept->Data), kept->Arrived);
+  // A packet that is sent to agents in a search stays, because the search may
+  // go on.
+  if (decision.Action != RelayAction::Forward &&
+      decision.Action != RelayAction::Query)
     KeptForSearch.takeOne(flow, steadyNow());
 }
 
@@ -395,6 +422,7 @@
   for (const FlowDecision &it :
        Router->pollSearches(*Control->table(), steadyNow()))
     applyToKeptPacket(it.Decision, it.Flow);
+  queryTableIfNeeded();
 }
 
 void RelayBalancer::runPeriodicTasks() {
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -40,6 +40,9 @@
   void applyToKeptPacket(const RelayDecision &decision,
                          const FlowEndpoints &flow);
   void pollSearches();
+  /// Asks control whether the table is current if a decision depends on it.
+  void queryTableIfNeeded();
+  void onTableConfirmed(TimePoint askedAt, Revision committed);
   void retryDeferred();
   void logDecision(const RelayDecision &decision, const FlowPacket &packet);
   bool isReady() const;
--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -16,6 +16,8 @@
 /// Shorter than NodeCallTimeout of the forwarding member and than the renewal
 /// interval of agents.
 constexpr Duration AnnounceCommitTimeout{700};
+/// A balancer asks again after about as long.
+constexpr Duration ConfirmationTimeout{300};
 
 CallOutcome outcomeOf(const absl::Status &status) {
   switch (status.code()) {
@@ -267,6 +269,51 @@
       });
 }
 
+void LeaderCalls::confirmState(std::function<void()> done) {
+  if (Control.isLeader()) {
+    if (Control.holdsLeaderLease(steadyNow()))
+      done();
+    return;
+  }
+  UnqueriedConfirmations.push_back(std::move(done));
+  // The reply to a query that was sent earlier may not cover entries that have
+  // been committed since.
+  if (!IsQueryingForConfirmations)
+    queryLeaderForConfirmations();
+}
+
+void LeaderCalls::queryLeaderForConfirmations() {
+  auto waiting = std::exchange(UnqueriedConfirmations, {});
+  if (waiting.empty())
+    return;
+  IsQueryingForConfirmations = true;
+  callLeader<LeaderReply>(
+      LeaderQuery{}, ConfirmationTimeout,
+      [this, waiting = std::move(waiting)](
+          const absl::StatusOr<LeaderReply> &reply) mutable {
+        IsQueryingForConfirmations = false;
+        const TimePoint now = steadyNow();
+        if (reply.ok() && reply->HoldsLease)
+          for (std::function<void()> &it : waiting)
+            PendingConfirmations.push_back(
+                {reply->CommitIndex, now + ConfirmationTimeout, std::move(it)});
+        completeConfirmations(now);
+        queryLeaderForConfirmations();
+      });
+}
+
+void LeaderCalls::completeConfirmations(TimePoint now) {
+  std::vector<std::function<void()>> ready;
+  std::erase_if(PendingConfirmations, [&](PendingConfirmation &it) {
+    const bool isApplied = Control.appliedIndex() >= it.CommitIndex;
+    if (isApplied)
+      ready.push_back(std::move(it.Done));
+    return isApplied || now >= it.Deadline;
+  });
+  for (const std::function<void()> &it : ready)
+    it();
+}
+
 void LeaderCalls::onCall(const PeerMessage &message,
                          const PeerLinks::SendReply &reply) {
   std::visit([&](const auto &it) { answer(it, reply); }, message);
@@ -348,6 +395,7 @@
   std::erase_if(PendingAnnouncements, [&](const PendingAnnouncement &it) {
     return tryComplete(it, now);
   });
+  completeConfirmations(now);
 }
 
 void LeaderCalls::answer(const LeaderQuery &call,
--- a/Source/ControlDaemon/LeaderCalls.h
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -43,6 +43,11 @@
   /// leader's commit index if it does, and not at all otherwise.
   void confirmLeader(std::function<void(std::uint64_t commitIndex)> done);
 
+  /// Runs \p done once this member has applied all entries that were committed
+  /// when it was called, and not at all if the leader cannot be reached. Calls
+  /// that wait at the same time share one query to the leader.
+  void confirmState(std::function<void()> done);
+
   void onCall(const PeerMessage &message, const PeerLinks::SendReply &reply);
   /// Must be called when the published revision has changed.
   void onPublished();
@@ -58,6 +63,16 @@
     AnnounceCallback Done;
   };
 
+  /// A caller of confirmState() that waits until this member has applied the
+  /// entries up to the leader's commit index.
+  struct PendingConfirmation {
+    std::uint64_t CommitIndex = 0;
+    TimePoint Deadline;
+    std::function<void()> Done;
+  };
+
+  void queryLeaderForConfirmations();
+  void completeConfirmations(TimePoint now);
   void announceLocally(const Announce &announce, AnnounceCallback done);
   bool tryComplete(const PendingAnnouncement &pending, TimePoint now);
   template <typename Reply>
@@ -86,6 +101,10 @@
   ReplicatedControl &Control;
   PeerLinks &Links;
   std::vector<PendingAnnouncement> PendingAnnouncements;
+  /// Callers of confirmState() for which no query has been sent yet.
+  std::vector<std::function<void()>> UnqueriedConfirmations;
+  bool IsQueryingForConfirmations = false;
+  std::vector<PendingConfirmation> PendingConfirmations;
 };
 
 } // namespace pistachio
--- a/Source/ControlDaemon/NodeChannel.cpp
+++ b/Source/ControlDaemon/NodeChannel.cpp
@@ -73,6 +73,17 @@
   });
 }
 
+void NodeChannel::onMessage(ConnectionId from, const TableQuery &message) {
+  Calls.confirmState([this, from, query = message.Query] {
+    const auto it = Connections.find(from);
+    if (it == Connections.end())
+      return;
+    // The table is sent first, so that the node mostly has it already.
+    push(from, it->second);
+    reply(from, TableConfirmation{query, Control.state().publishedRevision()});
+  });
+}
+
 void NodeChannel::resubscribeIfNeeded(const Connection &connection) {
   if (!connection.Subscription)
     return;
--- a/Source/ControlDaemon/NodeChannel.h
+++ b/Source/ControlDaemon/NodeChannel.h
@@ -63,6 +63,7 @@
   void onMessage(ConnectionId from, const Subscribe &message);
   void onMessage(ConnectionId from, const LeaseRequest &message);
   void onMessage(ConnectionId from, const Announce &message);
+  void onMessage(ConnectionId from, const TableQuery &message);
   /// Closes connections on which messages arrive that only control instances
   /// send.
   template <typename Other>
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -176,6 +176,8 @@
   std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                          TimePoint now) override;
   bool isSearching() const override;
+  bool needsConfirmedTable() const override;
+  void confirmTable(TimePoint askedAt, Revision committed) override;
   void eraseFoundFlows(std::vector<FlowEndpoints> &flows) const override;
   void onQuerySent(const FlowQuery &query, const Endpoint &agent,
                    TimePoint now) override;
@@ -227,6 +229,18 @@
                                        std::uint8_t visitedAgents);
   RelayDecision removeFlow(const FlowEndpoints &flow, RelayAction action,
                            RelayReason reason);
+  /// Returns whether control has confirmed that the table held all upstreams
+  /// and routes at \p since.
+  bool isConfirmed(const ServiceTable &table, TimePoint since) const;
+  /// Returns whether the search can only go on with another table or a
+  /// confirmation.
+  bool awaitsTable(const HolderSearch &search, const ServiceTable &table,
+                   TimePoint now) const;
+  /// Resets a flow whose holder, or whose route, is not in the table, once it
+  /// is certain that the table is not older than the flow.
+  RelayDecision resetUnlessTableIsOld(const FlowEndpoints &flow,
+                                      RelayReason reason,
+                                      const ServiceTable &table, TimePoint now);
   /// Resets a flow that no upstream holds.
   RelayDecision resetLostFlow(FlowEntry &entry, const FlowEndpoints &flow,
                               RelayReason reason, TimePoint now);
@@ -236,6 +250,9 @@
   absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
       Searches;
   absl::flat_hash_map<Endpoint, AgentStatus, std::hash<Endpoint>> Agents;
+  /// Arguments of the latest call of confirmTable().
+  std::optional<TimePoint> ConfirmedAt;
+  Revision ConfirmedRevision;
   TimePoint LastSweep{};
 };
 
@@ -313,10 +330,10 @@
   if (table.routeCount() == 0)
     return {.Action = RelayAction::Drop, .Reason = RelayReason::NoTable};
   const RouteRecord *route = table.findRoute(packet.Destination);
-  if (route == nullptr)
-    return removeFlow(flow,
-                      packet.Resets ? RelayAction::Drop : RelayAction::Reset,
-                      RelayReason::NoRoute);
+  if (route == nullptr && packet.Resets)
+    return removeFlow(flow, RelayAction::Drop, RelayReason::NoRoute);
+  if (route == nullptr && packet.Opens)
+    return removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute);
   if (packet.Opens)
     return routeFirstPacket(packet, *route, table, now);
   FlowEntry &entry = findOrInsert(flow, now);
@@ -325,6 +342,13 @@
     return {.Action = packet.Resets ? RelayAction::Drop : RelayAction::Reset,
             .Reason = RelayReason::Unknown};
   entry.LostAt.reset();
+  if (route == nullptr) {
+    // An earlier table had the route of a flow whose holder is known.
+    if (entry.Current.Agent.Port != 0)
+      return removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute);
+    beginSearch(entry, flow, now);
+    return resetUnlessTableIsOld(flow, RelayReason::NoRoute, table, now);
+  }
   resolveServices(entry, *route, table);
   if (entry.Current.Agent.Port != 0 && !entry.Searching) {
     // Two upstreams may have accepted copies of the first packet. The
@@ -571,7 +595,7 @@
     entry.LastPacketAt = now;
     return {.Action = RelayAction::Drop, .Reason = RelayReason::Unanswered};
   case SearchStep::Kind::NotFound:
-    return resetLostFlow(entry, flow, RelayReason::Unknown, now);
+    return resetUnlessTableIsOld(flow, RelayReason::Unknown, table, now);
   }
   return decision;
 }
@@ -589,7 +613,7 @@
   it->second.onNotHeld(agent, message.IsCertain);
   const RouteRecord *route = table.findRoute(flow.Service);
   if (route == nullptr)
-    return removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute);
+    return resetUnlessTableIsOld(flow, RelayReason::NoRoute, table, now);
   return advanceSearch(Flows.at(flow), flow, *route, table, now);
 }
 
@@ -597,21 +621,63 @@
 FlowRouterImpl::pollSearches(const ServiceTable &table, TimePoint now) {
   std::vector<FlowEndpoints> due;
   for (const auto &[flow, it] : Searches)
-    if (it.canAdvance(now))
+    if (it.canAdvance(now) && !awaitsTable(it, table, now))
       due.push_back(flow);
   std::vector<FlowDecision> decisions;
   for (const FlowEndpoints &flow : due) {
     const RouteRecord *route = table.findRoute(flow.Service);
     RelayDecision decision =
         route == nullptr
-            ? removeFlow(flow, RelayAction::Reset, RelayReason::NoRoute)
+            ? resetUnlessTableIsOld(flow, RelayReason::NoRoute, table, now)
             : advanceSearch(Flows.at(flow), flow, *route, table, now);
-    if (decision.Action != RelayAction::Query || !decision.Queries.empty())
+    if (decision.Reason != RelayReason::Search ||
+        decision.Action != RelayAction::Query || !decision.Queries.empty())
       decisions.push_back({flow, std::move(decision)});
   }
   return decisions;
 }
 
+bool FlowRouterImpl::isConfirmed(const ServiceTable &table,
+                                 TimePoint since) const {
+  return ConfirmedAt && *ConfirmedAt >= since &&
+         table.revision() >= ConfirmedRevision;
+}
+
+bool FlowRouterImpl::awaitsTable(const HolderSearch &search,
+                                 const ServiceTable &table,
+                                 TimePoint now) const {
+  return search.tableWithoutHolder() == table.revision() &&
+         !isConfirmed(table, search.startedAt()) &&
+         now - *search.awaitingSince() < Options.ConfirmationTimeout;
+}
+
+RelayDecision FlowRouterImpl::resetUnlessTableIsOld(const FlowEndpoints &flow,
+                                                    RelayReason reason,
+                                                    const ServiceTable &table,
+                                                    TimePoint now) {
+  HolderSearch &search = Searches.at(flow);
+  if (isConfirmed(table, search.startedAt()))
+    return resetLostFlow(Flows.at(flow), flow, reason, now);
+  const bool isFirst = !search.awaitingSince();
+  search.awaitTable(table.revision(), now);
+  if (now - *search.awaitingSince() >= Options.ConfirmationTimeout)
+    return resetLostFlow(Flows.at(flow), flow, RelayReason::Unconfirmed, now);
+  return {.Action = RelayAction::Query,
+          .Reason = isFirst ? RelayReason::AwaitsTable : RelayReason::Search};
+}
+
+bool FlowRouterImpl::needsConfirmedTable() const {
+  return std::ranges::any_of(Searches, [&](const auto &it) {
+    return it.second.tableWithoutHolder() &&
+           (!ConfirmedAt || *ConfirmedAt < it.second.startedAt());
+  });
+}
+
+void FlowRouterImpl::confirmTable(TimePoint askedAt, Revision committed) {
+  ConfirmedAt = askedAt;
+  ConfirmedRevision = committed;
+}
+
 void FlowRouterImpl::eraseFoundFlows(std::vector<FlowEndpoints> &flows) const {
   std::erase_if(flows, [&](const FlowEndpoints &it) {
     const auto search = Searches.find(it);
@@ -771,6 +837,10 @@
     return "unanswered";
   case RelayReason::HolderLost:
     return "holder-lost";
+  case RelayReason::AwaitsTable:
+    return "awaits-table";
+  case RelayReason::Unconfirmed:
+    return "unconfirmed";
   }
   return "other";
 }
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -84,6 +84,7 @@
                                  std::size_t firstRound, TimePoint now) {
   if (!canAdvance(now))
     return {};
+  TableWithoutHolder.reset();
   for (const HolderCandidate &it : candidates)
     if (const auto known = Inquiries.find(it.Agent); known != Inquiries.end())
       known->second.Agent = it;
@@ -151,6 +152,13 @@
   });
 }
 
+void HolderSearch::awaitTable(Revision revision, TimePoint now) {
+  Finished = false;
+  TableWithoutHolder = revision;
+  if (!AwaitingSince)
+    AwaitingSince = now;
+}
+
 std::optional<ServiceNameHash>
 HolderSearch::serviceOf(const Endpoint &agent) const {
   const auto it = Inquiries.find(agent);
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -66,6 +66,16 @@
   /// Returns the service for which the agent was queried, if it was.
   std::optional<ServiceNameHash> serviceOf(const Endpoint &agent) const;
   bool isFinished() const { return Finished; }
+  /// Continues a search that ended with NotFound in a table of \p revision. A
+  /// later table may have further candidates.
+  void awaitTable(Revision revision, TimePoint now);
+  /// The revision of awaitTable(). None unless the search waits for a later
+  /// table, or for the confirmation that there is none.
+  std::optional<Revision> tableWithoutHolder() const {
+    return TableWithoutHolder;
+  }
+  /// When the first table was found not to name the holder.
+  std::optional<TimePoint> awaitingSince() const { return AwaitingSince; }
   TimePoint startedAt() const { return StartedAt; }
 
 private:
@@ -94,6 +104,8 @@
   std::map<Endpoint, Inquiry> Inquiries;
   std::size_t RoundSize = 0;
   bool Finished = false;
+  std::optional<Revision> TableWithoutHolder;
+  std::optional<TimePoint> AwaitingSince;
 };
 
 } // namespace pistachio
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -101,7 +101,12 @@
   /// The agent that held the flow has returned a packet of it: the upstream has
   /// lost the flow, and no other one can have it.
   HolderLost,
-  Max = HolderLost
+  /// The table names no holder, but may be older than the flow. Control is
+  /// asked for the latest revision.
+  AwaitsTable,
+  /// Control has not confirmed the table in time.
+  Unconfirmed,
+  Max = Unconfirmed
 };
 
 std::string_view nameOf(RelayReason reason);
@@ -147,6 +152,11 @@
   Duration AnswerTimeout{150};
   /// How long an agent that did not answer gets no new flows.
   Duration UnresponsivePenalty{1000};
+  /// Longest time for which the reset of a flow waits for control to confirm
+  /// that the table is not older than the flow. Longer than the election of a
+  /// leader: a flow that no upstream holds is reset late while control cannot
+  /// be reached, but one that is held is not broken by a planned restart.
+  Duration ConfirmationTimeout{3000};
   /// Longest time for which a first packet is deferred until an upstream is
   /// free. It equals the shortest response-time goal of the deployments.
   Duration MaxDeferral{100};
@@ -198,7 +208,10 @@
 /// holders of flows that it placed or found. For other flows it queries the
 /// agents of the route in an order that depends on the hash of the flow and the
 /// state of the agents. New flows are placed in the same order, so a search
-/// begins with the agents that are most likely to hold the flow.
+/// begins with the agents that are most likely to hold the flow. Another
+/// balancer may have opened the flow with a later table, so that none of the
+/// known agents holds a flow proves its loss only if control has confirmed the
+/// table after the search began.
 class FlowRouter {
 public:
   virtual ~FlowRouter() = default;
@@ -226,6 +239,11 @@
   virtual std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                                  TimePoint now) = 0;
   virtual bool isSearching() const = 0;
+  /// Returns whether a decision waits for confirmTable().
+  virtual bool needsConfirmedTable() const = 0;
+  /// Control has confirmed that no revision after \p committed had been
+  /// committed at \p askedAt.
+  virtual void confirmTable(TimePoint askedAt, Revision committed) = 0;
   /// Removes the flows that are not searched for any more.
   virtual void eraseFoundFlows(std::vector<FlowEndpoints> &flows) const = 0;
   /// Must be called when a query is sent: the wait for its reply begins.
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -120,6 +120,16 @@
   list(archive, it.Addresses, MaxControlInstances, 6);
 }
 
+template <typename Archive> void fields(Archive &archive, TableQuery &it) {
+  field(archive, it.Query);
+}
+
+template <typename Archive>
+void fields(Archive &archive, TableConfirmation &it) {
+  field(archive, it.Query);
+  field(archive, it.CommittedRevision);
+}
+
 std::string_view nameOf(AnnounceResult result) {
   switch (result) {
   case AnnounceResult::Accepted:
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -203,9 +203,27 @@
                          const ControlInstances &) = default;
 };
 
+/// Balancer to control: asks for the latest committed revision of the table.
+struct TableQuery {
+  /// Chosen by the balancer; the reply repeats it.
+  std::uint32_t Query = 0;
+  friend bool operator==(const TableQuery &, const TableQuery &) = default;
+};
+
+/// Control to balancer: the reply to a TableQuery. All revisions that were
+/// committed when the query arrived are at most CommittedRevision. A control
+/// instance that cannot reach the leader does not reply.
+struct TableConfirmation {
+  std::uint32_t Query = 0;
+  Revision CommittedRevision;
+  friend bool operator==(const TableConfirmation &,
+                         const TableConfirmation &) = default;
+};
+
 using NodeMessage =
     std::variant<TableUpdate, Subscribe, LeaseRequest, LeaseGrant, Announce,
-                 AnnounceReply, ControlInstances>;
+                 AnnounceReply, ControlInstances, TableQuery,
+                 TableConfirmation>;
 
 absl::StatusOr<NodeMessage> decodeNode(std::span<const std::byte> buf);
 absl::Status encodeNode(const NodeMessage &message, Bytes &out);
--- a/Source/UnitTests/Balancer/ControlLinkTest.cpp
+++ b/Source/UnitTests/Balancer/ControlLinkTest.cpp
@@ -115,6 +115,54 @@
   }
 }
 
+// Guards against a search that never ends: a query for the latest revision that
+// stays without a reply has to be repeated, and a reply that arrives after the
+// next query must not be taken for the reply to that one.
+TEST(ControlLinkTest, RepeatsAQueryForTheLatestRevision) {
+  constexpr Duration RepeatDelay{250};
+  boost::asio::io_context context(1);
+  std::vector<std::uint32_t> queries;
+  ConnectionId client;
+  TcpHandlers handlers;
+  handlers.OnOpen = [&](ConnectionId from) { client = from; };
+  handlers.OnClose = [](ConnectionId) {};
+  handlers.OnFrame = [&](ConnectionId, std::span<const std::byte> frame) {
+    const auto message = decodeNode(frame);
+    if (!message.ok())
+      return;
+    if (const auto *query = std::get_if<TableQuery>(&*message))
+      queries.push_back(query->Query);
+  };
+  const auto server = listenTcp(context, {0x7F000001, 0}, std::move(handlers));
+  ASSERT_TRUE(server.ok());
+  std::vector<TimePoint> confirmed;
+  ControlLink link(
+      context, {"balancer-1", "dc-a", {0x7F000001, 1}, {(*server)->endpoint()}},
+      {[] {}, [](const LeaseGrant &, TimePoint) {},
+       [&](TimePoint askedAt, Revision committed) {
+         EXPECT_EQ(committed, Revision{9});
+         confirmed.push_back(askedAt);
+       }});
+  const TimePoint first = steadyNow();
+  // A query is dropped while there is no connection.
+  ASSERT_TRUE(runUntil(context, [&] {
+    link.queryTable(first);
+    return !queries.empty();
+  }));
+  link.queryTable(first + RepeatDelay / 2);
+  const TimePoint second = first + RepeatDelay;
+  link.queryTable(second);
+  ASSERT_TRUE(runUntil(context, [&] { return queries.size() == 2; }));
+  for (const std::uint32_t it : queries) {
+    Bytes buf;
+    ASSERT_TRUE(encodeNode(TableConfirmation{it, Revision{9}}, buf).ok());
+    (*server)->send(client, buf);
+  }
+  ASSERT_TRUE(runUntil(context, [&] { return !confirmed.empty(); }));
+  EXPECT_EQ(confirmed, std::vector<TimePoint>{second});
+  link.stop();
+}
+
 /// A control instance without a table that advertises another instance and
 /// closes the connection.
 class FakeRedirect {
--- a/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
+++ b/Source/UnitTests/ControlDaemon/ControlDaemonTest.cpp
@@ -102,6 +102,9 @@
         onGrant(*grant);
       else if (const auto *reply = std::get_if<AnnounceReply>(&*message))
         Reply = *reply;
+      else if (const auto *confirmed =
+                   std::get_if<TableConfirmation>(&*message))
+        Confirmation = *confirmed;
     };
     Client = connectTcp(Context, {server}, std::move(handlers));
   }
@@ -134,6 +137,7 @@
   NodeTable Table;
   LeaseGrant Grant;
   AnnounceReply Reply;
+  TableConfirmation Confirmation;
 
 private:
   void onGrant(const LeaseGrant &grant) {
@@ -423,6 +427,39 @@
   EXPECT_FALSE(node.isLeased());
 }
 
+// Guards against the fault of review/3: an instance that has just started
+// publishes the state of its disk, and nothing tells a balancer that later
+// revisions have been committed.
+TEST_F(SeededGroupTest, ConfirmsTablesOnlyWhileThereIsALeader) {
+  makeSeededInstances(3, 0);
+  startAll();
+  waitForGroup(3, 3);
+  std::uint32_t query = 0;
+  const auto isConfirmed = [&](NodeClient &node) {
+    node.send(TableQuery{++query});
+    return node.Confirmation.Query > 0 &&
+           node.Confirmation.CommittedRevision == node.Table.AppliedRevision;
+  };
+  for (const auto &it : Instances) {
+    NodeClient node(it->Settings.Nodes);
+    EXPECT_TRUE(node.waitFor([&] { return isConfirmed(node); }));
+  }
+  for (const auto &it : Instances)
+    it->stop();
+  // One of three voters cannot elect a leader.
+  Instances[0]->Settings.FoundGroup = false;
+  Instances[0]->Settings.Seeds = {Instances[0]->Settings.Peers};
+  ASSERT_TRUE(Instances[0]->start(false).ok());
+  NodeClient node(Instances[0]->Settings.Nodes);
+  int answers = 0;
+  EXPECT_TRUE(node.waitFor([&] {
+    node.send(TableQuery{++query});
+    answers += node.Table.DataCentres.size() == 2 ? 1 : 0;
+    return answers >= 20;
+  }));
+  EXPECT_EQ(node.Confirmation.Query, 0U);
+}
+
 /// Accepts connections at an address and counts them.
 class ConnectionCounter {
 public:
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -11,7 +11,10 @@
 
 class FlowRouterTest : public testing::Test {
 protected:
-  explicit FlowRouterTest(std::uint32_t upstreams = 6) : Table(upstreams) {}
+  explicit FlowRouterTest(std::uint32_t upstreams = 6) : Table(upstreams) {
+    // Control confirms every table of these tests.
+    Router->confirmTable(TimePoint::max(), Revision{});
+  }
 
   RelayDecision routeFromCaller(const FlowPacket &packet) {
     return Router->onCallerPacket(packet, *Table, Now);
@@ -231,6 +234,7 @@
 struct NoRouteCase {
   const char *Name;
   bool HasTable;
+  bool IsConfirmed;
   FlowPacket Packet;
   RelayAction Expected;
 };
@@ -238,12 +242,15 @@
 class NoRouteTest : public testing::TestWithParam<NoRouteCase> {};
 
 // Guards against a caller that waits for an answer although its address has no
-// route, and against resets from a balancer that has no table yet.
+// route, and against resets from a balancer that has no table yet or, for open
+// flows, one that may be too old.
 TEST_P(NoRouteTest, ResetsOnlyWhenATableIsKnown) {
   const NoRouteCase &it = GetParam();
   const TestTable table(2);
   TableReplica empty;
   const auto router = makeFlowRouter({});
+  if (it.IsConfirmed)
+    router->confirmTable(TimePoint{}, Revision{});
   const RelayDecision decision = router->onCallerPacket(
       it.Packet, it.HasTable ? *table : *empty.table(), TimePoint{});
   EXPECT_EQ(decision.Action, it.Expected);
@@ -257,17 +264,19 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Table, NoRouteTest,
-    testing::Values(NoRouteCase{"First", true, withoutRoute(firstPacket(1)),
-                                RelayAction::Reset},
-                    NoRouteCase{"Data", true, withoutRoute(dataPacket(1)),
-                                RelayAction::Reset},
-                    NoRouteCase{"OwnReset", true,
-                                withoutRoute(dataPacket(1), true),
-                                RelayAction::Drop},
-                    NoRouteCase{"FirstWithoutTable", false, firstPacket(1),
-                                RelayAction::Drop},
-                    NoRouteCase{"DataWithoutTable", false, dataPacket(1),
-                                RelayAction::Drop}),
+    testing::Values(
+        NoRouteCase{"First", true, false, withoutRoute(firstPacket(1)),
+                    RelayAction::Reset},
+        NoRouteCase{"Data", true, true, withoutRoute(dataPacket(1)),
+                    RelayAction::Reset},
+        NoRouteCase{"DataWithoutConfirmation", true, false,
+                    withoutRoute(dataPacket(1)), RelayAction::Query},
+        NoRouteCase{"OwnReset", true, true, withoutRoute(dataPacket(1), true),
+                    RelayAction::Drop},
+        NoRouteCase{"FirstWithoutTable", false, true, firstPacket(1),
+                    RelayAction::Drop},
+        NoRouteCase{"DataWithoutTable", false, true, dataPacket(1),
+                    RelayAction::Drop}),
     [](const auto &it) { return std::string(it.param.Name); });
 
 // Guards against placing many flows on a few upstreams while others have none,
--- a/Source/UnitTests/Relay/HolderSearchTest.cpp
+++ b/Source/UnitTests/Relay/HolderSearchTest.cpp
@@ -13,7 +13,10 @@
 /// Searches for the holders of flows in a service of \p upstreams members.
 class HolderSearchTest : public testing::Test {
 protected:
-  explicit HolderSearchTest(std::uint32_t upstreams = 40) : Table(upstreams) {}
+  explicit HolderSearchTest(std::uint32_t upstreams = 40) : Table(upstreams) {
+    // Control confirms every table of these tests.
+    Router->confirmTable(TimePoint::max(), Revision{});
+  }
 
   RelayDecision routeFromCaller(const FlowPacket &packet) {
     return markSent({packet.Source, packet.Destination},
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -112,6 +112,8 @@
       Subscribe{"balancer-1", "ee-north-a", {0x7F000001, 6000}, Revision{3}},
       LeaseRequest{"balancer-1", Revision{9}},
       LeaseGrant{3000, Revision{9}},
+      TableQuery{7},
+      TableConfirmation{7, Revision{9}},
       Announce{"workshop-api",
                "ee-north-a",
                "zone-1",
