Log promotions as events of their own, and keep silent learners for 30 s

Change: members_changed says that members came or went. A learner that becomes a voter is logged as member_promoted, with its address and id.

--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -329,11 +330,32 @@
     return;
   Links->closeAllExcept(members);
   Links->connect(members, Settings.Peers);
-  logEvent(LogLevel::Info, "members_changed", "members of the group changed",
-           {{"members", std::to_string(members.size())}});
+  logMembers(members);
   LastMembers = std::move(members);
 }
 
+void ControlDaemon::logMembers(std::span<const Member> members) const {
+  const auto isListed = [](std::span<const Member> list, const Member &member) {
+    return std::ranges::find(list, member.Id, &Member::Id) != list.end();
+  };
+  const auto isNew = [&](const Member &it) {
+    return !isListed(LastMembers, it);
+  };
+  const auto isGone = [&](const Member &it) { return !isListed(members, it); };
+  if (std::ranges::any_of(members, isNew) ||
+      std::ranges::any_of(LastMembers, isGone))
+    logEvent(LogLevel::Info, "members_changed", "members of the group changed",
+             {{"members", std::to_string(members.size())}});
+  for (const Member &it : LastMembers) {
+    const auto now = std::ranges::find(members, it.Id, &Member::Id);
+    if (!it.Voter && now != members.end() && now->Voter)
+      logEvent(LogLevel::Info, "member_promoted",
+               "a learner has caught up and votes from now on",
+               {{"address", toString(it.Address)},
+                {"member", std::to_string(it.Id.Value)}});
+  }
+}
+
 void ControlDaemon::confirmLeader(TimePoint now) {
   if (now - LastLeaderQuery < LeaderQueryInterval)
     return;
--- a/Source/ControlDaemon/ControlDaemon.h
+++ b/Source/ControlDaemon/ControlDaemon.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 
 namespace pistachio {
 
@@ -56,6 +57,8 @@
   void sendJoinRequest(TimePoint now);
   void updateMembers();
   void confirmLeader(TimePoint now);
+  /// Logs how \p members differ from LastMembers.
+  void logMembers(std::span<const Member> members) const;
   void logRoleChange();
   void logRouting();
   void fail(absl::Status reason);
--- a/Source/ControlDaemon/GroupMembership.cpp
+++ b/Source/ControlDaemon/GroupMembership.cpp
@@ -12,13 +12,9 @@
 /// Longer than an election plus a short restart of its process.
 constexpr Duration SilentVoterTimeout{4000};
 
-/// A learner has no vote, so its removal does not weaken the group. If it
-/// returns, it joins again by itself.
-constexpr Duration SilentLearnerTimeout{4000};
-
-/// Longer than that of a learner: a relay never becomes a voter, and every
-/// restart of its process would otherwise change the membership twice.
-constexpr Duration SilentRelayTimeout{30000};
+/// A learner or relay that is removed joins again by itself when it returns.
+/// Longer than a restart, which would otherwise change the membership twice.
+constexpr Duration SilentLearnerTimeout{30000};
 
 /// With fewer voters, a silent voter is not removed: the smaller group could
 /// not tolerate any more failures, and the voter may return with its disk
@@ -151,12 +147,6 @@
   });
 }
 
-Duration GroupMembership::silenceTimeout(const Member &member) {
-  if (member.Voter)
-    return SilentVoterTimeout;
-  return member.Relay ? SilentRelayTimeout : SilentLearnerTimeout;
-}
-
 void GroupMembership::removeSilentMember(std::span<const Member> members,
                                          TimePoint now) {
   const auto voters =
@@ -165,8 +155,11 @@
     const std::optional<TimePoint> contact = Control.node().lastContact(it.Id);
     if (!contact)
       continue;
-    const bool isDispensable = !it.Voter || voters >= MinVotersForRemoval;
-    if (isDispensable && now - *contact >= silenceTimeout(it))
+    const Duration silent = now - *contact;
+    const bool isExpired =
+        it.Voter ? silent >= SilentVoterTimeout && voters >= MinVotersForRemoval
+                 : silent >= SilentLearnerTimeout;
+    if (isExpired)
       return remove(it, now);
   }
 }
--- a/Source/ControlDaemon/GroupMembership.h
+++ b/Source/ControlDaemon/GroupMembership.h
@@ -62,8 +62,6 @@
   bool isLowestSeed() const;
   /// Returns whether the promotion of a learner has begun.
   bool promoteLearner(std::span<const Member> members, TimePoint now);
-  /// How long a member may be without contact before it is removed.
-  static Duration silenceTimeout(const Member &member);
   void removeSilentMember(std::span<const Member> members, TimePoint now);
   void remove(const Member &member, TimePoint now);
 
