Carry out an operator's order only while its caller waits

An instance that had been frozen carried out a DELETE of an earlier evacuation when it woke, although its caller had left after a second and another instance had acknowledged the order.

Cause: an order to take a data centre out of service or to bring it back has no version, and nothing bounded its age. It could wait in the socket of a frozen instance, on the connection from a follower to the leader (behind a cut), or in the queue of a frozen leader; each of them carried it out whenever it came.

Ruled out: routing documents (version), rules (expected revision) and status reports (sequence number of the lifetime) are protected. An announcement that a frozen control instance relays late can list a draining upstream as active for a second; its agent declines new flows all the same.

Change: the instance checks that the caller's connection is open, and refuses orders shortly after it has stood still for half a second, because the end of a connection may not reach a suspended machine. It asks the leader for a permit and then checks the caller again; the leader appends the order only within 400 ms after the permit by its own clock, and only in the same term. A refused order gets 503.

--- a/Source/ControlDaemon/ControlBackend.cpp
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -40,6 +40,9 @@
 /// another instance, so waiting longer for a leader is useless.
 constexpr Duration CommandRetryTimeout{700};
 
+/// How long an order waits for a leader. See OrderPermitTime.
+constexpr Duration OrderRetryTimeout{500};
+
 constexpr std::string_view OperatorSystemName = "operators-system";
 
 /// Rejects requests that are invalid regardless of the current state, without
@@ -193,16 +196,66 @@
       PendingCommands.push_back({command, retryDeadline, done});
       return;
     }
-    const absl::Status outcome =
-        reply.ok() ? toOutcome(*reply).status() : reply.status();
-    ++(outcome.ok() ? AppliedCount : RefusedCount);
-    done(outcome);
+    complete(reply.ok() ? toOutcome(*reply).status() : reply.status(), done);
   });
 }
 
-void ControlBackend::retryPendingCommands() {
+void ControlBackend::complete(const absl::Status &outcome,
+                              const std::function<void(absl::Status)> &done) {
+  ++(outcome.ok() ? AppliedCount : RefusedCount);
+  done(outcome);
+}
+
+void ControlBackend::tick(TimePoint now) {
+  Pauses.onTick(now);
   for (PendingCommand &it : std::exchange(PendingCommands, {}))
     submitOperatorCommand(it.Command, it.RetryDeadline, std::move(it.Done));
+  for (Order &it : std::exchange(PendingOrders, {}))
+    submitOrder(std::move(it));
+}
+
+absl::Status ControlBackend::checkAge(const Order &order) const {
+  if (order.IsAbandoned())
+    return absl::UnavailableError(
+        "the caller has closed the connection; the order is not carried out");
+  if (Pauses.wasPaused(steadyNow()))
+    return absl::UnavailableError(
+        "this instance stood still, so the order may be outdated; it is not "
+        "carried out");
+  return absl::OkStatus();
+}
+
+void ControlBackend::submitOrder(Order order) {
+  if (absl::Status age = checkAge(order); !age.ok())
+    return complete(age, order.Done);
+  Calls.requestPermit([this, order = std::move(order)](
+                          const absl::StatusOr<OrderPermit> &permit) mutable {
+    if (!permit.ok())
+      return finishOrder(std::move(order), permit.status());
+    applyOrder(std::move(order), *permit);
+  });
+}
+
+void ControlBackend::applyOrder(Order order, const OrderPermit &permit) {
+  // The permit says that no time has passed since it was requested, and this
+  // check that the caller still waited afterwards.
+  if (absl::Status age = checkAge(order); !age.ok())
+    return complete(age, order.Done);
+  const SetDataCentre command = order.Command;
+  Calls.applyOrder(command, permit,
+                   [this, order = std::move(order)](
+                       const absl::StatusOr<ApplyReply> &reply) mutable {
+                     finishOrder(std::move(order),
+                                 reply.ok() ? toOutcome(*reply).status()
+                                            : reply.status());
+                   });
+}
+
+void ControlBackend::finishOrder(Order order, const absl::Status &outcome) {
+  if (absl::IsUnavailable(outcome) && steadyNow() < order.RetryDeadline)
+    PendingOrders.push_back(std::move(order));
+  else
+    complete(outcome, order.Done);
 }
 
 void ControlBackend::applyRouting(RoutingPlan plan,
@@ -243,6 +296,7 @@
 }
 
 void ControlBackend::setDataCentre(std::string name, DataCentreChange change,
+                                   std::function<bool()> isAbandoned,
                                    std::function<void(absl::Status)> done) {
   if (!isName(name))
     return done(absl::InvalidArgumentError(
@@ -255,8 +309,8 @@
   // requested again later.
   command.OperationId =
       concat("data-centre-", std::to_string(makeIncarnation().Value));
-  submitOperatorCommand(command, steadyNow() + CommandRetryTimeout,
-                        std::move(done));
+  submitOrder({std::move(command), steadyNow() + OrderRetryTimeout,
+               std::move(isAbandoned), std::move(done)});
 }
 
 } // namespace pistachio
--- a/Source/ControlDaemon/ControlBackend.h
+++ b/Source/ControlDaemon/ControlBackend.h
@@ -2,6 +2,7 @@
 
 #include "Admin/Admin.h"
 #include "ControlDaemon/LeaderCalls.h"
+#include "ControlDaemon/OrderAge.h"
 
 #include <functional>
 
@@ -29,10 +30,12 @@
   void readRouting(
       std::function<void(absl::StatusOr<RoutingDocument>)> done) override;
   void setDataCentre(std::string name, DataCentreChange change,
+                     std::function<bool()> isAbandoned,
                      std::function<void(absl::Status)> done) override;
 
-  /// Submits again the commands that could not reach a leader.
-  void retryPendingCommands();
+  /// Submits again the commands that could not reach a leader. Must be called
+  /// every few milliseconds.
+  void tick(TimePoint now);
 
   std::uint64_t appliedCount() const { return AppliedCount; }
   std::uint64_t refusedCount() const { return RefusedCount; }
@@ -45,8 +48,26 @@
     std::function<void(absl::Status)> Done;
   };
 
+  /// A change of a data centre. Unlike a routing document it has no version
+  /// that would show that it is outdated.
+  struct Order {
+    SetDataCentre Command;
+    TimePoint RetryDeadline;
+    std::function<bool()> IsAbandoned;
+    std::function<void(absl::Status)> Done;
+  };
+
   void submitOperatorCommand(const LogCommand &command, TimePoint retryDeadline,
                              std::function<void(absl::Status)> done);
+  void submitOrder(Order order);
+  void applyOrder(Order order, const OrderPermit &permit);
+  /// Returns OK if the caller still waits for the order.
+  absl::Status checkAge(const Order &order) const;
+  /// Keeps the order for another attempt if it was not accepted and may be
+  /// repeated, and completes it otherwise.
+  void finishOrder(Order order, const absl::Status &outcome);
+  void complete(const absl::Status &outcome,
+                const std::function<void(absl::Status)> &done);
   ControlStatus localStatus() const;
   void addUpstreams(ControlStatus &status) const;
   void addBalancers(ControlStatus &status) const;
@@ -54,6 +75,8 @@
   const ReplicatedControl &Control;
   LeaderCalls &Calls;
   std::vector<PendingCommand> PendingCommands;
+  std::vector<Order> PendingOrders;
+  PauseDetector Pauses;
   std::uint64_t AppliedCount = 0;
   std::uint64_t RefusedCount = 0;
 };
--- a/Source/ControlDaemon/ControlDaemon.cpp
+++ b/Source/ControlDaemon/ControlDaemon.cpp
@@ -238,7 +238,7 @@
   Links->tick(now);
   Nodes->tick(now);
   Calls->tick(now);
-  Backend->retryPendingCommands();
+  Backend->tick(now);
   updateMembers();
   if (Membership->needsToJoin(now))
     sendJoinRequest(now);
@@ -287,7 +287,8 @@
   for (const std::string &it : Settings.DataCentres) {
     if (!Control->state().findDataCentre(it))
       Backend->setDataCentre(
-          it, DataCentreChange::Declare, [it](const absl::Status &status) {
+          it, DataCentreChange::Declare, [] { return false; },
+          [it](const absl::Status &status) {
             logEvent(status.ok() ? LogLevel::Info : LogLevel::Warning,
                      "data_centre_declared",
                      status.ok() ? "" : messageOf(status),
--- a/Source/ControlDaemon/LeaderCalls.cpp
+++ b/Source/ControlDaemon/LeaderCalls.cpp
@@ -1,5 +1,7 @@
 #include "ControlDaemon/LeaderCalls.h"
 
+#include "ControlDaemon/OrderAge.h"
+
 #include <utility>
 
 namespace pistachio {
@@ -18,6 +20,7 @@
 constexpr Duration AnnounceCommitTimeout{700};
 /// A balancer asks again after about as long.
 constexpr Duration ConfirmationTimeout{300};
+constexpr Duration PermitTimeout{300};
 
 CallOutcome outcomeOf(const absl::Status &status) {
   switch (status.code()) {
@@ -69,6 +72,23 @@
   return absl::UnavailableError("the leader cannot be reached");
 }
 
+/// Sends the result of a forwarded command to the member that forwarded it.
+std::function<void(absl::StatusOr<ApplyReply>)>
+replyWithOutcome(PeerCallId id, const PeerLinks::SendReply &reply) {
+  return [id, reply](absl::StatusOr<ApplyReply> result) {
+    ForwardedApplyReply message;
+    message.Call = id;
+    message.Outcome = outcomeOf(result.status());
+    if (result.ok()) {
+      message.Code = static_cast<std::uint8_t>(result->Result.Outcome);
+      message.RulesRevision = result->Result.RulesRevision;
+      message.Text = std::move(result->Result.Text);
+      message.Repeated = result->Repeated;
+    }
+    reply(message);
+  };
+}
+
 } // namespace
 
 template <typename Reply>
@@ -97,6 +117,11 @@
   if (absl::Status encoded = encodeCommand(command, call.Command);
       !encoded.ok())
     return done(std::move(encoded));
+  forwardCommand(std::move(call), std::move(done));
+}
+
+void LeaderCalls::forwardCommand(
+    PeerMessage &&call, std::function<void(absl::StatusOr<ApplyReply>)> done) {
   callLeader<ForwardedApplyReply>(
       std::move(call), ForwardedApplyTimeout,
       [done = std::move(done)](absl::StatusOr<ForwardedApplyReply> reply) {
@@ -114,8 +139,56 @@
       });
 }
 
+absl::StatusOr<OrderPermit> LeaderCalls::issuePermit() const {
+  const TimePoint now = steadyNow();
+  if (!Control.holdsLeaderLease(now))
+    return absl::UnavailableError("the leader has no lease");
+  return issueOrderPermit(Control.node().term(), now);
+}
+
+void LeaderCalls::requestPermit(
+    std::function<void(absl::StatusOr<OrderPermit>)> done) {
+  if (Control.isLeader())
+    return done(issuePermit());
+  callLeader<OrderPermitReply>(
+      OrderPermitQuery{}, PermitTimeout,
+      [done = std::move(done)](const absl::StatusOr<OrderPermitReply> &reply) {
+        // Nothing has been submitted yet, so the order is certainly not
+        // accepted.
+        if (!reply.ok())
+          return done(absl::UnavailableError(reply.status().message()));
+        if (reply->Outcome != CallOutcome::Answered)
+          return done(statusOf(reply->Outcome));
+        done(reply->Permit);
+      });
+}
+
+void LeaderCalls::applyOrder(
+    const LogCommand &command, const OrderPermit &permit,
+    std::function<void(absl::StatusOr<ApplyReply>)> done) {
+  if (Control.isLeader())
+    return applyOrderLocally(command, permit, std::move(done));
+  ForwardedOrder call;
+  call.Permit = permit;
+  if (absl::Status encoded = encodeCommand(command, call.Command);
+      !encoded.ok())
+    return done(std::move(encoded));
+  forwardCommand(std::move(call), std::move(done));
+}
+
+void LeaderCalls::applyOrderLocally(
+    LogCommand command, const OrderPermit &permit,
+    std::function<void(absl::StatusOr<ApplyReply>)> done) {
+  const auto appendBy = expiryOf(permit, Control.node().term(), steadyNow());
+  if (!appendBy)
+    return done(absl::UnavailableError(
+        "the order was delayed for too long and was not accepted"));
+  applyLocally(std::move(command), std::move(done), *appendBy);
+}
+
 void LeaderCalls::applyLocally(
-    LogCommand command, std::function<void(absl::StatusOr<ApplyReply>)> done) {
+    LogCommand command, std::function<void(absl::StatusOr<ApplyReply>)> done,
+    TimePoint appendBy) {
   const std::string operationId = stampProposalTime(command);
   if (operationId.empty())
     return done(absl::InvalidArgumentError("the command has no operation id"));
@@ -135,7 +208,8 @@
         done(status.ok()
                  ? absl::InternalError("no result is stored for the operation")
                  : status);
-      });
+      },
+      appendBy);
 }
 
 void LeaderCalls::readRules(
@@ -321,24 +395,28 @@
 
 void LeaderCalls::answer(const ForwardedApply &call,
                          const PeerLinks::SendReply &reply) {
-  const PeerCallId id = call.Call;
   absl::StatusOr<LogCommand> command = decodeCommand(call.Command);
+  auto done = replyWithOutcome(call.Call, reply);
   if (!Control.isLeader() || !command.ok())
-    return reply(
-        ForwardedApplyReply{id, CallOutcome::NotLeader, 0, {}, "", false});
-  applyLocally(
-      *std::move(command), [id, reply](absl::StatusOr<ApplyReply> result) {
-        ForwardedApplyReply message;
-        message.Call = id;
-        message.Outcome = outcomeOf(result.status());
-        if (result.ok()) {
-          message.Code = static_cast<std::uint8_t>(result->Result.Outcome);
-          message.RulesRevision = result->Result.RulesRevision;
-          message.Text = std::move(result->Result.Text);
-          message.Repeated = result->Repeated;
-        }
-        reply(message);
-      });
+    return done(statusOf(CallOutcome::NotLeader));
+  applyLocally(*std::move(command), std::move(done));
+}
+
+void LeaderCalls::answer(const ForwardedOrder &call,
+                         const PeerLinks::SendReply &reply) {
+  absl::StatusOr<LogCommand> command = decodeCommand(call.Command);
+  auto done = replyWithOutcome(call.Call, reply);
+  if (!Control.isLeader() || !command.ok())
+    return done(statusOf(CallOutcome::NotLeader));
+  applyOrderLocally(*std::move(command), call.Permit, std::move(done));
+}
+
+void LeaderCalls::answer(const OrderPermitQuery &call,
+                         const PeerLinks::SendReply &reply) {
+  const absl::StatusOr<OrderPermit> permit = issuePermit();
+  reply(OrderPermitReply{
+      call.Call, permit.ok() ? CallOutcome::Answered : CallOutcome::NotLeader,
+      permit.value_or(OrderPermit{})});
 }
 
 void LeaderCalls::answer(const ForwardedNodeMessage &call,
--- a/Source/ControlDaemon/LeaderCalls.h
+++ b/Source/ControlDaemon/LeaderCalls.h
@@ -28,6 +28,12 @@
   /// its outcome is unknown.
   void apply(LogCommand command,
              std::function<void(absl::StatusOr<ApplyReply>)> done);
+  /// Asks the leader for the permission to submit one order.
+  void requestPermit(std::function<void(absl::StatusOr<OrderPermit>)> done);
+  /// Like apply(), for a command without a version: the leader accepts it only
+  /// while \p permit is valid.
+  void applyOrder(const LogCommand &command, const OrderPermit &permit,
+                  std::function<void(absl::StatusOr<ApplyReply>)> done);
   void readRules(std::function<void(absl::StatusOr<RulesReply>)> done);
   void readRouting(std::function<void(absl::StatusOr<RoutingReply>)> done);
   /// Reads the last contact to each node and the flow count of each upstream
@@ -78,8 +84,14 @@
   template <typename Reply>
   void callLeader(PeerMessage &&message, Duration timeout,
                   std::function<void(absl::StatusOr<Reply>)> done);
+  void forwardCommand(PeerMessage &&call,
+                      std::function<void(absl::StatusOr<ApplyReply>)> done);
   void applyLocally(LogCommand command,
-                    std::function<void(absl::StatusOr<ApplyReply>)> done);
+                    std::function<void(absl::StatusOr<ApplyReply>)> done,
+                    TimePoint appendBy = TimePoint::max());
+  void applyOrderLocally(LogCommand command, const OrderPermit &permit,
+                         std::function<void(absl::StatusOr<ApplyReply>)> done);
+  absl::StatusOr<OrderPermit> issuePermit() const;
   void
   readRoutingLocally(std::function<void(absl::StatusOr<RoutingReply>)> done);
   void readRulesLocally(std::function<void(absl::StatusOr<RulesReply>)> done);
@@ -89,6 +101,8 @@
       std::function<void(absl::StatusOr<ForwardedNodeReply>)> done);
 
   void answer(const ForwardedApply &call, const PeerLinks::SendReply &reply);
+  void answer(const OrderPermitQuery &call, const PeerLinks::SendReply &reply);
+  void answer(const ForwardedOrder &call, const PeerLinks::SendReply &reply);
   void answer(const ForwardedNodeMessage &call,
               const PeerLinks::SendReply &reply);
   void answer(const LeaderQuery &call, const PeerLinks::SendReply &reply);
--- a/Source/ControlDaemon/PeerLinks.cpp
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -28,7 +28,8 @@
          std::holds_alternative<LeaderReply>(message) ||
          std::holds_alternative<RulesReply>(message) ||
          std::holds_alternative<StatusReply>(message) ||
-         std::holds_alternative<RoutingReply>(message);
+         std::holds_alternative<RoutingReply>(message) ||
+         std::holds_alternative<OrderPermitReply>(message);
 }
 
 PeerCallId &callIdOf(PeerMessage &message) {
--- a/Source/ControlDaemon/ReplicatedControl.cpp
+++ b/Source/ControlDaemon/ReplicatedControl.cpp
@@ -42,8 +42,8 @@
 }
 
 void ReplicatedControl::submit(LogCommand command, TimePoint deadline,
-                               Done done) {
-  Queue.push_back({std::move(command), deadline, std::move(done)});
+                               Done done, TimePoint appendBy) {
+  Queue.push_back({std::move(command), deadline, std::move(done), appendBy});
   if (Queue.size() == 1 && Notify.OnQueued)
     Notify.OnQueued();
 }
@@ -54,11 +54,19 @@
     submit(std::move(it), now + TrackerCommandTimeout, nullptr);
 }
 
-std::vector<Bytes> ReplicatedControl::takeBatch(std::vector<Queued> &batch) {
+std::vector<Bytes> ReplicatedControl::takeBatch(std::vector<Queued> &batch,
+                                                TimePoint now) {
   std::vector<Bytes> commands;
   while (!Queue.empty() && commands.size() < MaxEntriesInAppend) {
     Queued item = std::move(Queue.front());
     Queue.pop_front();
+    if (now > item.AppendBy) {
+      queueCompletion(
+          std::move(item.OnDone),
+          absl::UnavailableError("the command was delayed for too long and was "
+                                 "not accepted"));
+      continue;
+    }
     Bytes buf;
     if (absl::Status encoded = encodeCommand(item.Command, buf);
         !encoded.ok()) {
@@ -74,7 +82,7 @@
 void ReplicatedControl::flush(TimePoint now) {
   while (!Queue.empty()) {
     std::vector<Queued> batch;
-    const std::vector<Bytes> commands = takeBatch(batch);
+    const std::vector<Bytes> commands = takeBatch(batch, now);
     if (commands.empty())
       break;
     ConsensusOutput output;
--- a/Source/ControlDaemon/ReplicatedControl.h
+++ b/Source/ControlDaemon/ReplicatedControl.h
@@ -54,8 +54,10 @@
   void receive(const ConsensusMessage &message, TimePoint now);
 
   /// Queues a command. Commands that are queued together are appended to the
-  /// log with one sync.
-  void submit(LogCommand command, TimePoint deadline, Done done);
+  /// log with one sync. A command that is not appended by \p appendBy is not
+  /// accepted.
+  void submit(LogCommand command, TimePoint deadline, Done done,
+              TimePoint appendBy = TimePoint::max());
   void flush(TimePoint now);
   /// Runs \p done with OK once a linearizable read of the state is possible.
   void read(TimePoint now, TimePoint deadline, Done done);
@@ -95,6 +97,7 @@
     LogCommand Command;
     TimePoint Deadline;
     Done OnDone;
+    TimePoint AppendBy;
   };
   struct PendingRead {
     std::uint64_t Id = 0;
@@ -111,7 +114,7 @@
   void checkLeadership(TimePoint now);
   void compactIfDue();
   void submitAll(std::vector<LogCommand> proposals, TimePoint now);
-  std::vector<Bytes> takeBatch(std::vector<Queued> &batch);
+  std::vector<Bytes> takeBatch(std::vector<Queued> &batch, TimePoint now);
   void queueCompletion(Done done, absl::Status status);
   void runCompletions();
 
--- a/Source/Core/Admin/Admin.h
+++ b/Source/Core/Admin/Admin.h
@@ -209,7 +209,12 @@
   /// Reads the latest routing. Returns NotFound if no routing was applied yet.
   virtual void
   readRouting(std::function<void(absl::StatusOr<RoutingDocument>)> done) = 0;
+  /// Such an order has no version. The caller sends it again elsewhere when it
+  /// has waited in vain, and may give the opposite order later. So an order is
+  /// not carried out once \p isAbandoned returns true, or once it may be older
+  /// than the time for which callers wait.
   virtual void setDataCentre(std::string name, DataCentreChange change,
+                             std::function<bool()> isAbandoned,
                              std::function<void(absl::Status)> done) = 0;
 };
 
--- a/Source/Core/Runtime/HttpServer.cpp
+++ b/Source/Core/Runtime/HttpServer.cpp
@@ -8,8 +8,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
 #include <optional>
 #include <set>
+#include <sys/socket.h>
 
 namespace pistachio {
 namespace {
@@ -98,7 +100,10 @@
         std::string(request.method_string().data(),
                     request.method_string().size()),
         std::string(request.target().data(), request.target().size()),
-        request.body()};
+        request.body(), [connection = weak_from_this()] {
+          const auto self = connection.lock();
+          return !self || self->hasPeerClosed();
+        }};
     State->Handler(serverRequest,
                    [self = shared_from_this(), keepAlive,
                     generation = Generation](HttpServerResponse reply) {
@@ -106,6 +111,15 @@
                    });
   }
 
+  bool hasPeerClosed() {
+    if (!Socket.is_open())
+      return true;
+    char next = 0;
+    const auto n = ::recv(Socket.native_handle(), &next, sizeof(next),
+                          MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   void write(HttpServerResponse reply, bool keepAlive,
              std::uint64_t generation) {
     // The connection may have timed out, or the handler has replied before.
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -155,6 +155,9 @@
   std::string Method;
   std::string Target;
   std::string Body;
+  /// Returns whether the caller has closed its side of the connection. It then
+  /// does not wait for the reply any more.
+  std::function<bool()> IsAbandoned = [] { return false; };
 };
 
 struct HttpServerResponse {
--- a/Source/Core/Wire/PeerMessages.cpp
+++ b/Source/Core/Wire/PeerMessages.cpp
@@ -97,6 +97,29 @@
   text(archive, it.Routing.Text, MaxRoutingDocumentBytes);
 }
 
+template <typename Archive> void fields(Archive &archive, OrderPermit &it) {
+  field(archive, it.Term);
+  field(archive, it.IssuedAtMs);
+}
+
+template <typename Archive>
+void fields(Archive &archive, OrderPermitQuery &it) {
+  field(archive, it.Call);
+}
+
+template <typename Archive>
+void fields(Archive &archive, OrderPermitReply &it) {
+  field(archive, it.Call);
+  field(archive, it.Outcome);
+  fields(archive, it.Permit);
+}
+
+template <typename Archive> void fields(Archive &archive, ForwardedOrder &it) {
+  field(archive, it.Call);
+  fields(archive, it.Permit);
+  bytes(archive, it.Command, MaxCommandBytes);
+}
+
 absl::StatusOr<PeerMessage> decodePeer(std::span<const std::byte> buf) {
   return decodeVariant<PeerMessage>(buf, FirstPeerType, MaxBodyBytes);
 }
--- a/Source/Core/Wire/PeerMessages.h
+++ b/Source/Core/Wire/PeerMessages.h
@@ -150,13 +150,48 @@
   friend bool operator==(const RoutingReply &, const RoutingReply &) = default;
 };
 
+/// Permission of the leader to submit one order of an operator to it. It ends
+/// with the leader's term, or a short time after it was issued by the leader's
+/// own clock, so an order that is delayed on its way is not carried out.
+struct OrderPermit {
+  std::uint64_t Term = 0;
+  std::uint64_t IssuedAtMs = 0;
+  friend bool operator==(const OrderPermit &, const OrderPermit &) = default;
+};
+
+struct OrderPermitQuery {
+  PeerCallId Call;
+  friend bool operator==(const OrderPermitQuery &,
+                         const OrderPermitQuery &) = default;
+};
+
+/// Reply to an OrderPermitQuery. Permit is valid only if Outcome is Answered.
+struct OrderPermitReply {
+  PeerCallId Call;
+  CallOutcome Outcome = CallOutcome::NotLeader;
+  OrderPermit Permit;
+  friend bool operator==(const OrderPermitReply &,
+                         const OrderPermitReply &) = default;
+};
+
+/// Like ForwardedApply, for a command that has no version. The reply is a
+/// ForwardedApplyReply.
+struct ForwardedOrder {
+  PeerCallId Call;
+  OrderPermit Permit;
+  Bytes Command;
+  friend bool operator==(const ForwardedOrder &,
+                         const ForwardedOrder &) = default;
+};
+
 /// Calls between members of the control group. They use the same connections as
 /// the consensus messages.
 using PeerMessage =
     std::variant<ForwardedApply, ForwardedApplyReply, ForwardedNodeMessage,
                  ForwardedNodeReply, LeaderQuery, LeaderReply, RulesQuery,
                  RulesReply, StatusQuery, StatusReply, RoutingQuery,
-                 RoutingReply>;
+                 RoutingReply, OrderPermitQuery, OrderPermitReply,
+                 ForwardedOrder>;
 
 absl::StatusOr<PeerMessage> decodePeer(std::span<const std::byte> buf);
 absl::Status encodePeer(const PeerMessage &message, Bytes &out);
--- a/Source/UnitTests/Platform/CallsTest.cpp
+++ b/Source/UnitTests/Platform/CallsTest.cpp
@@ -24,7 +24,10 @@
     done(RoutingDocument{12, RoutingBody});
   }
   void setDataCentre(std::string name, DataCentreChange change,
+                     std::function<bool()> isAbandoned,
                      std::function<void(absl::Status)> done) override {
+    if (isAbandoned())
+      return done(absl::UnavailableError("the caller has gone"));
     ForwardedOperations.push_back(
         (change == DataCentreChange::TakeOut ? "out " : "in ") + name);
     done(StatusToReturn);
