Let time go on during a suspension

What callers would see: after a suspended machine wakes, a leader takes its lease for valid, and with it a permit for an order or the confirmation of a table, until the other members answer it.

Cause: steadyNow() read the steady clock of the standard library, which stands still while a machine is suspended (a suspension is possible on the platform).

Change: steadyNow() reads CLOCK_BOOTTIME. Timers still wait by the steady clock; what they find when they fire is judged by the new time.

--- a/Source/Core/Runtime/Clock.cpp
+++ b/Source/Core/Runtime/Clock.cpp
@@ -1,13 +1,21 @@
 #include "Runtime/Runtime.h"
 
 #include <chrono>
+#include <ctime>
 #include <random>
 
 namespace pistachio {
 
 TimePoint steadyNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  // The steady clock of the standard library does not count the time for which
+  // the machine was suspended.
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0)
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 std::uint64_t wallClockMs() {
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -21,7 +21,8 @@
 
 namespace pistachio {
 
-/// Current time of the steady clock.
+/// Current time of a clock that is never set and that goes on while the machine
+/// is suspended, so that leases and permits end during a suspension.
 TimePoint steadyNow();
 
 /// Current time of the system clock in milliseconds since the Unix epoch.
