Keep a service that a configuration no longer lists while flows may be open

Open flows went on until their packets went through another balancer, which reset them, although the upstreams lived and the route existed.

A balancer that did not know the holder searched the remaining services, whose agents all answered for certain that they do not hold the flow. The same happened to the flows of a listed service after its route had moved more than eight times, since a route remembered eight services.

Ruled out: the announcements of the agents. They go on for such an upstream, and were rejected only because the service was gone.

Change: such a service stays in the replicated state and in the table, without an address of its own, as long as one of its upstreams reports and a route that exists has named it. Its upstreams stay registered, and their agents can restart. Routes send no new flows to it. The removal of the route still ends its flows.

--- a/Source/ControlDaemon/ControlBackend.cpp
+++ b/Source/ControlDaemon/ControlBackend.cpp
@@ -145,8 +145,8 @@
 void ControlBackend::addUpstreams(ControlStatus &status) const {
   const ControlState &state = Control.state();
   std::map<ServiceId, std::string> services;
-  for (const ServiceRule &it : state.rules().services())
-    services.emplace(state.findService(it.Name)->Id, it.Name);
+  for (const ServiceRecord &it : state.services())
+    services.emplace(it.Id, it.Name);
   std::map<DataCentreId, DataCentreRecord> dataCentres;
   for (const std::string &it : state.rules().dataCentres()) {
     const DataCentreRecord record = *state.findDataCentre(it);
--- a/Source/Core/Control/Control.h
+++ b/Source/Core/Control/Control.h
@@ -77,6 +77,9 @@
   virtual Revision rulesRevision() const = 0;
   virtual const RuleSet &rules() const = 0;
   virtual const RoutingDocument &routing() const = 0;
+  /// All services of the table: those of the rules, and those that the rules no
+  /// longer have but whose upstreams may hold open flows of a route.
+  virtual std::vector<ServiceRecord> services() const = 0;
   virtual std::vector<UpstreamInfo> upstreams() const = 0;
   virtual std::optional<UpstreamInfo> findUpstream(UpstreamId id) const = 0;
   virtual std::optional<UpstreamInfo>
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -17,8 +17,9 @@
 constexpr std::string_view RoutingRuleKinds[] = {"service", "route"};
 
 /// Number of services that a route keeps in its record after it has stopped
-/// naming them. The oldest are dropped first.
-constexpr std::size_t MaxFormerServices = 8;
+/// naming them: as many as an update can carry. Those without upstreams are
+/// dropped first, and then the oldest.
+constexpr std::size_t MaxFormerServices = MaxRouteShares;
 
 /// Truncates the text after a complete line and appends the number of omitted
 /// lines.
@@ -57,6 +58,13 @@
   const RuleSet &rules() const override { return Data.Rules; }
   const RoutingDocument &routing() const override { return Data.Routing; }
 
+  std::vector<ServiceRecord> services() const override {
+    std::vector<ServiceRecord> all;
+    for (const auto &[name, it] : Data.Services)
+      all.push_back(it);
+    return all;
+  }
+
   std::vector<UpstreamInfo> upstreams() const override {
     std::vector<UpstreamInfo> all;
     all.reserve(Data.Upstreams.size());
@@ -122,6 +130,7 @@
     for (const auto &[id, it] : Data.Upstreams)
       UpstreamByAddress[it.Record.Address] = id;
     rebuildDrainedUpstreams();
+    rebuildRetiredServices();
     return absl::OkStatus();
   }
 
@@ -149,6 +158,10 @@
   void updateRoutes(TableChange &change);
   void updateDataCentres(TableChange &change);
   void removeOrphans(TableChange &change);
+  void removeRetiredServices(TableChange &change);
+  void removeService(const std::string &name, TableChange &change);
+  std::set<ServiceId> servicesWithUpstreams() const;
+  void dropExcessFormerServices(RouteRecord &route) const;
   void updateUpstreamStates(TableChange &change);
   DataCentreId allocateDataCentreId();
   void removeUpstream(UpstreamId id, TableChange &change);
@@ -164,10 +177,22 @@
                         Data.Rules.drainingUpstreams().end()};
   }
 
+  void rebuildRetiredServices() {
+    RetiredServices.clear();
+    for (const auto &[name, it] : Data.Services)
+      RetiredServices.insert(name);
+    for (const ServiceRule &it : Data.Rules.services())
+      RetiredServices.erase(it.Name);
+  }
+
   ControlData Data;
   // Indexes derived from Data; they are not part of the snapshot.
   std::map<Endpoint, UpstreamId> UpstreamByAddress;
   std::set<UpstreamId> DrainedUpstreams;
+  /// Services that the rules no longer have. Routes that named them may still
+  /// have open flows at their upstreams, so they stay in the table while one of
+  /// the upstreams does. No new flow is sent to them.
+  std::set<std::string> RetiredServices;
 };
 
 /// Runs \p execute and stores its result, unless the operation id already has a
@@ -288,6 +313,7 @@
   updateRoutes(change);
   updateDataCentres(change);
   removeOrphans(change);
+  removeRetiredServices(change);
   updateUpstreamStates(change);
 }
 
@@ -304,11 +330,70 @@
       change.Services.push_back(record.Id);
     next.emplace(rule.Name, std::move(record));
   }
+  const std::set<ServiceId> used = servicesWithUpstreams();
   for (const auto &[name, record] : Data.Services) {
-    if (!next.contains(name))
+    if (next.contains(name))
+      continue;
+    // Without an address the service gets no new flows of its own.
+    ServiceRecord retired{record.Id, name, {}};
+    const bool isKept = used.contains(record.Id);
+    if (!isKept || retired != record)
       change.Services.push_back(record.Id);
+    if (isKept)
+      next.emplace(name, std::move(retired));
   }
   Data.Services = std::move(next);
+  rebuildRetiredServices();
+}
+
+std::set<ServiceId> ControlStateImpl::servicesWithUpstreams() const {
+  std::set<ServiceId> used;
+  for (const auto &[id, it] : Data.Upstreams)
+    used.insert(it.Record.Service);
+  return used;
+}
+
+/// Removes the retired services without upstreams, and those that no route has
+/// named before.
+void ControlStateImpl::removeRetiredServices(TableChange &change) {
+  if (RetiredServices.empty())
+    return;
+  const std::set<ServiceId> used = servicesWithUpstreams();
+  const std::set<std::string> retired = RetiredServices;
+  for (const std::string &name : retired) {
+    const ServiceId id = Data.Services.at(name).Id;
+    const bool isFormer = std::ranges::any_of(Data.Routes, [&](const auto &it) {
+      return std::ranges::count(it.second.FormerServices, id) > 0;
+    });
+    if (!isFormer || !used.contains(id))
+      removeService(name, change);
+  }
+}
+
+void ControlStateImpl::removeService(const std::string &name,
+                                     TableChange &change) {
+  const ServiceId id = Data.Services.at(name).Id;
+  for (auto &[address, route] : Data.Routes)
+    if (std::erase(route.FormerServices, id) > 0)
+      change.Routes.push_back(address);
+  for (const UpstreamInfo &it : upstreams())
+    if (it.Record.Service == id)
+      removeUpstream(it.Record.Id, change);
+  change.Services.push_back(id);
+  Data.Services.erase(name);
+  RetiredServices.erase(name);
+}
+
+void ControlStateImpl::dropExcessFormerServices(RouteRecord &route) const {
+  std::vector<ServiceId> &former = route.FormerServices;
+  if (former.size() <= MaxFormerServices)
+    return;
+  const std::set<ServiceId> used = servicesWithUpstreams();
+  while (former.size() > MaxFormerServices) {
+    const auto unused = std::ranges::find_if(
+        former, [&](ServiceId id) { return !used.contains(id); });
+    former.erase(unused == former.end() ? former.begin() : unused);
+  }
 }
 
 void ControlStateImpl::updateRoutes(TableChange &change) {
@@ -334,10 +419,7 @@
       std::erase_if(record.FormerServices, [&](ServiceId id) {
         return isNamed(id) || !services.contains(id);
       });
-      if (record.FormerServices.size() > MaxFormerServices)
-        record.FormerServices.erase(record.FormerServices.begin(),
-                                    record.FormerServices.end() -
-                                        MaxFormerServices);
+      dropExcessFormerServices(record);
     }
     if (old == Data.Routes.end() || old->second != record)
       change.Routes.push_back(rule.Address);
@@ -455,6 +537,8 @@
   change.Upstreams.push_back(info.Record.Id);
   UpstreamByAddress[command.Address] = info.Record.Id;
   Data.Upstreams.emplace(info.Record.Id, std::move(info));
+  // The previous upstream at the address may have been the last of its service.
+  removeRetiredServices(change);
   return true;
 }
 
@@ -480,6 +564,7 @@
       it->second.Record.ProcessIncarnation != command.ProcessIncarnation)
     return false;
   removeUpstream(command.Upstream, change);
+  removeRetiredServices(change);
   return true;
 }
 
--- a/Source/UnitTests/Control/ControlStateHarness.h
+++ b/Source/UnitTests/Control/ControlStateHarness.h
@@ -125,13 +125,15 @@
   /// one, and sometimes equal to it.
   LogCommand routing(const ControlState &state) {
     std::string lines;
+    const bool hasBoth = pick(4) > 0;
     for (const char *name : {"workshop-api", "intake-api"})
-      lines += std::string("service ") + name + " slots 5 # asked by Tiina\n";
+      if (hasBoth || name[0] == 'w')
+        lines += std::string("service ") + name + " slots 5 # asked by Tiina\n";
     for (std::size_t i = 0, n = pick(4); i < n; ++i)
       lines += "route r-" + std::to_string(i) +
                " address 10.30.0.1:" + std::to_string(500 + i) +
                " to workshop-api weight " + std::to_string(1 + pick(9)) +
-               (pick(2) ? " and intake-api weight 1" : "") +
+               (hasBoth && pick(2) ? " and intake-api weight 1" : "") +
                " # asked by Tiina\n";
     const std::uint64_t version = state.routing().Version + pick(4);
     return ApplyRouting{"routing-" + std::to_string(++Operation), version,
--- a/Source/UnitTests/Control/RoutingTest.cpp
+++ b/Source/UnitTests/Control/RoutingTest.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+#include <sstream>
+
 namespace pistachio {
 namespace {
 
@@ -86,6 +90,154 @@
       Harness.makeUpToDateNode().Routes.at(Address).FormerServices.empty());
 }
 
+/// A sequence of changes after which a flow may be open at an upstream of
+/// service alpha, to which the route led at first.
+struct RetiredCase {
+  const char *Name;
+  /// Each step is the list of services of a routing, whose first one gets the
+  /// route; empty for a routing without the route. Two steps have a meaning of
+  /// their own: see below.
+  std::vector<std::string> Steps;
+  bool IsSearched;
+};
+
+constexpr const char *AgentRestarts = "agent restarts";
+constexpr const char *UpstreamLeaves = "upstream leaves";
+
+class RetiredServiceTest : public RoutingTest,
+                           public testing::WithParamInterface<RetiredCase> {
+protected:
+  static UpstreamJoined upstreamOfAlpha(std::uint64_t incarnation) {
+    return {
+        "alpha", "x", "x", "machine", Endpoint{7, 1}, Incarnation{incarnation},
+        5};
+  }
+
+  /// \p services is separated by spaces.
+  ApplyRouting routing(const std::string &services) {
+    ++Version;
+    ApplyRouting command{"routing-" + std::to_string(Version), Version, "",
+                         "document", 0};
+    for (const std::string &it : split(services))
+      command.Lines += "service " + it + " slots 5 # asked by Tiina\n";
+    if (!services.empty())
+      command.Lines += "route r address 10.30.0.1:500 to " +
+                       split(services).front() + " weight 1 # asked by Tiina\n";
+    return command;
+  }
+
+  static std::vector<std::string> split(const std::string &words) {
+    std::istringstream in(words);
+    return {std::istream_iterator<std::string>(in), {}};
+  }
+
+  void step(const std::string &name) {
+    const auto known = Harness.State->findUpstream(Endpoint{7, 1});
+    if (name == AgentRestarts)
+      Harness.commit(upstreamOfAlpha(2));
+    else if (name == UpstreamLeaves)
+      Harness.commit(
+          UpstreamLeft{known->Record.Id, known->Record.ProcessIncarnation});
+    else
+      Harness.commit(routing(name));
+  }
+
+  std::uint64_t Version = 0;
+};
+
+// Guards against the fault of review/4: a configuration moved a route to
+// another service and no longer listed the former one. Balancers could not find
+// the flows that were open there and reset them.
+TEST_P(RetiredServiceTest, IsSearchedWhileItsUpstreamsReport) {
+  step("alpha beta");
+  Harness.commit(upstreamOfAlpha(1));
+  const ServiceId alpha = Harness.State->findService("alpha")->Id;
+  NodeTable behind = Harness.makeUpToDateNode();
+  for (const std::string &it : GetParam().Steps)
+    step(it);
+  const NodeTable table = Harness.makeUpToDateNode();
+  const auto route = table.Routes.find(Address);
+  const bool isFormer =
+      route != table.Routes.end() &&
+      std::ranges::count(route->second.FormerServices, alpha) > 0;
+  EXPECT_EQ(isFormer, GetParam().IsSearched);
+  if (isFormer) {
+    EXPECT_EQ(table.Services.at(alpha).Name, "alpha");
+    ASSERT_NE(table.find(Endpoint{7, 1}), nullptr);
+    EXPECT_EQ(table.find(Endpoint{7, 1})->Service, alpha);
+    EXPECT_EQ(
+        std::ranges::count(route->second.Shares, alpha, &RouteShare::Service),
+        0);
+  }
+  // A node that is versions behind and a member that loads a snapshot have the
+  // same table.
+  EXPECT_TRUE(
+      behind.receiveAll(Harness.State->updatesSince(behind.AppliedRevision)));
+  EXPECT_TRUE(behind == table);
+  const auto other = makeControlState();
+  ASSERT_TRUE(other->load(Harness.State->save()).ok());
+  EXPECT_EQ(other->save(), Harness.State->save());
+  EXPECT_EQ(other->updatesSince(Revision{}),
+            Harness.State->updatesSince(Revision{}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RetiredServiceTest,
+    testing::Values(
+        RetiredCase{"Listed", {"beta alpha"}, true},
+        RetiredCase{"NoLongerListed", {"beta"}, true},
+        RetiredCase{"ListedFirst", {"beta alpha", "beta"}, true},
+        RetiredCase{"SeveralVersions", {"beta", "gamma", "beta gamma"}, true},
+        RetiredCase{"AgentRestarts", {"beta", AgentRestarts}, true},
+        RetiredCase{"UpstreamLeaves", {"beta", UpstreamLeaves}, false},
+        RetiredCase{"UpstreamHasLeft", {UpstreamLeaves, "beta"}, false},
+        RetiredCase{"RouteIsDropped", {"beta", ""}, false},
+        // The removal of its route ends a flow.
+        RetiredCase{"RouteIsDroppedAndBack", {"beta", "", "beta"}, false},
+        RetiredCase{
+            "MoreMovesThanEight",
+            {"b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8", "b9", "b10"},
+            true}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
+// Guards against a service that gets no flows, or another id, after a
+// configuration lists it again.
+TEST_F(RetiredServiceTest, ListedAgainKeepsItsUpstreams) {
+  step("alpha beta");
+  Harness.commit(upstreamOfAlpha(1));
+  const ServiceId alpha = Harness.State->findService("alpha")->Id;
+  step("beta");
+  step("alpha beta");
+  const NodeTable table = Harness.makeUpToDateNode();
+  EXPECT_EQ(table.Routes.at(Address).Shares[0].Service, alpha);
+  ASSERT_NE(table.find(Endpoint{7, 1}), nullptr);
+  EXPECT_EQ(table.find(Endpoint{7, 1})->Service, alpha);
+}
+
+// Guards against a service that takes new flows at its own address after the
+// rules have stopped listing it.
+TEST_F(RetiredServiceTest, HasNoAddress) {
+  ApplyRouting command = routing("alpha beta");
+  command.Lines.replace(command.Lines.find("alpha "), 6,
+                        "alpha address 10.20.0.1:443 ");
+  Harness.commit(command);
+  Harness.commit(upstreamOfAlpha(1));
+  const ServiceId alpha = Harness.State->findService("alpha")->Id;
+  ASSERT_EQ(Harness.makeUpToDateNode().Services.at(alpha).Address.Port, 443);
+  step("beta");
+  EXPECT_EQ(Harness.makeUpToDateNode().Services.at(alpha).Address.Port, 0);
+}
+
+// Guards against a service without a route that stays in the table: its flows
+// end with its address.
+TEST_F(RetiredServiceTest, ServiceWithoutARouteIsRemoved) {
+  Harness.commit(routing("beta alpha"));
+  Harness.commit(upstreamOfAlpha(1));
+  step("beta");
+  EXPECT_FALSE(Harness.State->findService("alpha"));
+  EXPECT_FALSE(Harness.State->findUpstream(Endpoint{7, 1}));
+}
+
 // Guards against agents that must wait for control before they know the request
 // rate of their upstream in a cold start.
 TEST_F(RoutingTest, RouteCarriesTheColdRate) {
