Replace connections between control instances that have gone silent

Cause: PeerLinks kept a connection to another member until it was reset. Each member sends to another one on a connection of its own, so a group of three stays without a leader when one direction of two pairs is gone.

Ruled out: connections of balancers (lease, 0.8 s) and of agents (replies, 2.5 s) have time-outs of their own.

Time in which the process itself stood still does not count. Cost: at most two small messages a second each way on an idle link.

--- a/Source/ControlDaemon/PeerLinks.cpp
+++ b/Source/ControlDaemon/PeerLinks.cpp
@@ -15,6 +15,16 @@
 /// much.
 constexpr std::size_t MaxQueuedBytes = 128 * 1024;
 
+/// A connection on which nothing arrives is probed at this interval.
+constexpr Duration ProbeInterval{500};
+/// Three probes without a reply. Shorter than the time after which an instance
+/// without a leader sends join requests, so that elections find working
+/// connections again.
+constexpr Duration SilenceTimeout{1500};
+/// A longer time between two ticks is not counted as silence: this process
+/// stood still itself.
+constexpr Duration MaxTickInterval{100};
+
 /// Returns whether the message carries log entries or a part of a snapshot.
 bool isBulk(const ConsensusMessage &message) {
   if (const auto *append = std::get_if<AppendRequest>(&message))
@@ -62,21 +72,23 @@
 }
 
 TcpClient &PeerLinks::linkTo(const Endpoint &to) {
-  std::unique_ptr<TcpClient> &link = Links[to];
-  if (link)
-    return *link;
+  Link &link = Links[to];
+  if (link.Client)
+    return *link.Client;
   TcpHandlers handlers;
   handlers.OnOpen = [](ConnectionId) {};
   handlers.OnClose = [](ConnectionId) {};
   handlers.OnFrame = [this, to](ConnectionId,
                                 std::span<const std::byte> frame) {
+    if (const auto it = Links.find(to); it != Links.end())
+      it->second.Silence = Duration{0};
     onFrame(frame, [this, to](std::span<const std::byte> buf) {
       if (const auto it = Links.find(to); it != Links.end())
-        it->second->send(buf);
+        it->second.Client->send(buf);
     });
   };
-  link = connectTcp(Context, {to}, std::move(handlers));
-  return *link;
+  link.Client = connectTcp(Context, {to}, std::move(handlers));
+  return *link.Client;
 }
 
 bool PeerLinks::isCongested(const Endpoint &to) {
@@ -157,6 +169,39 @@
 }
 
 void PeerLinks::tick(TimePoint now) {
+  expireCalls(now);
+  const Duration elapsed = std::min(now - LastTick, MaxTickInterval);
+  LastTick = now;
+  for (auto &[to, link] : Links)
+    checkLink(to, link, elapsed);
+}
+
+void PeerLinks::checkLink(const Endpoint &to, Link &link, Duration elapsed) {
+  if (!link.Client->isOpen()) {
+    link.Silence = Duration{0};
+    return;
+  }
+  link.Silence += elapsed;
+  link.SinceProbe += elapsed;
+  if (link.Silence >= SilenceTimeout) {
+    logEvent(LogLevel::Warning, "peer_link_silent",
+             "nothing arrives on the connection; connecting again",
+             {{"member", toString(to)},
+              {"silent_ms", std::to_string(link.Silence.count())}});
+    link.Silence = Duration{0};
+    return link.Client->reconnect();
+  }
+  if (link.Silence < ProbeInterval || link.SinceProbe < ProbeInterval)
+    return;
+  link.SinceProbe = Duration{0};
+  // Every member replies to this query, whether it is the leader or not. No
+  // call waits for the reply.
+  Bytes buf;
+  if (encodePeer(LeaderQuery{{++LastCallId.Value}}, buf).ok())
+    link.Client->send(buf);
+}
+
+void PeerLinks::expireCalls(TimePoint now) {
   std::vector<ReplyHandler> expired;
   std::erase_if(PendingCalls, [&](auto &it) {
     if (now < it.second.Deadline)
@@ -171,7 +216,7 @@
 
 std::size_t PeerLinks::queuedBytes(const Endpoint &to) const {
   const auto it = Links.find(to);
-  return it == Links.end() ? 0 : it->second->queuedBytes();
+  return it == Links.end() ? 0 : it->second.Client->queuedBytes();
 }
 
 void PeerLinks::connect(std::span<const Member> members, const Endpoint &self) {
--- a/Source/ControlDaemon/PeerLinks.h
+++ b/Source/ControlDaemon/PeerLinks.h
@@ -15,7 +15,9 @@
 namespace pistachio {
 
 /// Connections to the other members. They carry consensus messages, and calls
-/// that have a reply and a deadline.
+/// that have a reply and a deadline. A connection on which nothing arrives is
+/// probed, and replaced if the probes have no reply: it may have gone silent
+/// without a reset, while a new one would work.
 class PeerLinks {
 public:
   using ReplyHandler = std::function<void(absl::StatusOr<PeerMessage>)>;
@@ -40,6 +42,7 @@
   /// arrives in time.
   void call(const Endpoint &to, PeerMessage message, TimePoint deadline,
             ReplyHandler done);
+  /// Must be called every few milliseconds.
   void tick(TimePoint now);
   /// Bytes that wait to be sent to a member.
   std::size_t queuedBytes(const Endpoint &to) const;
@@ -58,18 +61,27 @@
     TimePoint Deadline;
     ReplyHandler Done;
   };
+  struct Link {
+    std::unique_ptr<TcpClient> Client;
+    /// How long nothing has arrived on the connection while this process ran.
+    Duration Silence{0};
+    Duration SinceProbe{0};
+  };
   /// Sends a frame on the connection from which the current frame was read.
   using SendBack = std::function<void(std::span<const std::byte>)>;
 
   TcpClient &linkTo(const Endpoint &to);
   bool isCongested(const Endpoint &to);
+  void expireCalls(TimePoint now);
+  void checkLink(const Endpoint &to, Link &link, Duration elapsed);
   void onFrame(std::span<const std::byte> frame, const SendBack &sendBack);
   void onPeerMessage(PeerMessage message, const SendBack &sendBack);
 
   boost::asio::io_context &Context;
   Handlers Notify;
   std::unique_ptr<TcpServer> Server;
-  std::map<Endpoint, std::unique_ptr<TcpClient>> Links;
+  std::map<Endpoint, Link> Links;
+  TimePoint LastTick{};
   std::set<Endpoint> CongestedLinks;
   std::map<PeerCallId, PendingCall> PendingCalls;
   PeerCallId LastCallId;
