--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -16,11 +16,6 @@
 /// Kinds of rules that a routing command replaces.
 constexpr std::string_view RoutingRuleKinds[] = {"service", "route"};
 
-/// Number of services that a route keeps in its record after it has stopped
-/// naming them: as many as an update can carry. Those without upstreams are
-/// dropped first, and then the oldest.
-constexpr std::size_t MaxFormerServices = MaxRouteShares;
-
 /// Truncates the text after a complete line and appends the number of omitted
 /// lines.
 std::string truncateResultText(std::string text) {
@@ -384,6 +379,7 @@
   RetiredServices.erase(name);
 }
 
+/// Drops the services without upstreams first, and then the oldest.
 void ControlStateImpl::dropExcessFormerServices(RouteRecord &route) const {
   std::vector<ServiceId> &former = route.FormerServices;
   if (former.size() <= MaxFormerServices)
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -51,7 +51,7 @@
 template <typename Archive> void fields(Archive &archive, RouteRecord &it) {
   field(archive, it.Address);
   list(archive, it.Shares, MaxRouteShares, 12);
-  list(archive, it.FormerServices, MaxRouteShares, 4);
+  list(archive, it.FormerServices, MaxFormerServices, 4);
 }
 
 /// Lets list() encode endpoints.
--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -38,7 +38,10 @@
   friend bool operator==(const RouteShare &, const RouteShare &) = default;
 };
 
-inline constexpr std::size_t MaxRouteShares = 64;
+/// More than a line of the rules can name: it has 64 KiB, and a service takes
+/// at least 15 bytes of it.
+inline constexpr std::size_t MaxRouteShares = 4400;
+inline constexpr std::size_t MaxFormerServices = 64;
 
 /// Distributes the flows to one address over several services. A route has no
 /// id; the address is its key.
--- a/Source/UnitTests/Control/RoutingTest.cpp
+++ b/Source/UnitTests/Control/RoutingTest.cpp
@@ -90,6 +90,33 @@
       Harness.makeUpToDateNode().Routes.at(Address).FormerServices.empty());
 }
 
+// Guards against a valid configuration that is acknowledged and never in force:
+// a route that is split over many services could not be sent to nodes.
+TEST_F(RoutingTest, RouteOverAsManyServicesAsALineHoldsReachesNodes) {
+  constexpr std::size_t LineBytes = 64 * 1024;
+  ApplyRouting command{"routing-1", 1, "", "document", 0};
+  std::string route = "route r address 10.30.0.1:500 to s0 weight 1";
+  std::size_t n = 1;
+  for (; route.size() + 64 < LineBytes; ++n)
+    route += " and s" + std::to_string(n) + " weight 1";
+  for (std::size_t i = 0; i < n; ++i)
+    command.Lines +=
+        "service s" + std::to_string(i) + " slots 5 # asked by T\n";
+  command.Lines += route + " # asked by T\n";
+  ASSERT_EQ(commitOperation(command, "routing-1"), Code::Applied)
+      << Harness.State->findResult("routing-1")->Text;
+  NodeTable node;
+  for (const TableUpdate &it : Harness.State->updatesSince(Revision{})) {
+    Bytes buf;
+    ASSERT_TRUE(encodeNode(it, buf).ok());
+    const auto received = decodeNode(buf);
+    ASSERT_TRUE(received.ok()) << received.status();
+    ASSERT_TRUE(node.receive(std::get<TableUpdate>(*received)));
+  }
+  ASSERT_TRUE(node.Routes.contains(Address));
+  EXPECT_EQ(node.Routes.at(Address).Shares.size(), n);
+}
+
 /// A sequence of changes after which a flow may be open at an upstream of
 /// service alpha, to which the route led at first.
 struct RetiredCase {
