--- a/Source/UnitTests/Relay/TableConfirmationTest.cpp
+++ b/Source/UnitTests/Relay/TableConfirmationTest.cpp
@@ -141,7 +141,7 @@
 // table after the packet arrived.
 TEST_P(TableConfirmationTest, ResetNeedsATableThatIsNotOlderThanTheFlow) {
   const ProofRow &row = GetParam();
-  constexpr Duration Limit = FlowRouterOptions{}.ConfirmationTimeout;
+  const Duration Limit = FlowRouterOptions{}.ConfirmationTimeout;
   constexpr Duration PollTolerance{40};
   if (row.Lacks == Missing::Route)
     Packet.Destination = Flow.Service = NewRoute;
