Keep a dropped service while control has lost its upstreams

A configuration moved a route to another service and no longer listed the former one. If the agents of the former service could not reach control for 15 s, before or after that, their open flows were reset as soon as the packets went through another balancer, although the agents had come back and the upstreams lived.

Change: the state remembers up to 1,024 upstreams that left while they were suspect. Their services count as used, so the agents can announce themselves again. This works because a lost upstream ends only by its return, by leaving on its own, or with the routes that named its service.

--- a/Source/Core/Control/ControlData.h
+++ b/Source/Core/Control/ControlData.h
@@ -4,12 +4,20 @@
 #include "Control/Control.h"
 #include "Control/ResultTable.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
 
 namespace pistachio {
 
+/// An upstream that was removed because its announcements timed out. It may
+/// still run and hold flows, and its agent may announce it again.
+struct LostUpstream {
+  Endpoint Address;
+  ServiceId Service;
+};
+
 /// The complete content of a snapshot of the control state. The maps are
 /// ordered, so that the serialized bytes are identical on every member.
 struct ControlData {
@@ -24,6 +32,8 @@
   std::map<std::string, ServiceRecord, std::less<>> Services;
   std::map<std::string, DataCentreRecord, std::less<>> DataCentres;
   std::map<UpstreamId, UpstreamInfo> Upstreams;
+  /// Oldest first.
+  std::deque<LostUpstream> LostUpstreams;
   std::map<std::string, BalancerRecord, std::less<>> Balancers;
   std::map<Endpoint, RouteRecord> Routes;
   RoutingDocument Routing;
--- a/Source/Core/Control/ControlState.cpp
+++ b/Source/Core/Control/ControlState.cpp
@@ -16,6 +16,11 @@
 /// Kinds of rules that a routing command replaces.
 constexpr std::string_view RoutingRuleKinds[] = {"service", "route"};
 
+/// Number of upstreams that are remembered after their announcements timed out.
+/// The oldest are dropped first. The target's installation loses fewer in a
+/// day.
+constexpr std::size_t MaxLostUpstreams = 1024;
+
 /// Truncates the text after a complete line and appends the number of omitted
 /// lines.
 std::string truncateResultText(std::string text) {
@@ -155,6 +160,7 @@
   void removeOrphans(TableChange &change);
   void removeRetiredServices(TableChange &change);
   void removeService(const std::string &name, TableChange &change);
+  /// Services with an upstream that is registered or lost.
   std::set<ServiceId> servicesWithUpstreams() const;
   void dropExcessFormerServices(RouteRecord &route) const;
   void updateUpstreamStates(TableChange &change);
@@ -186,7 +192,7 @@
   std::set<UpstreamId> DrainedUpstreams;
   /// Services that the rules no longer have. Routes that named them may still
   /// have open flows at their upstreams, so they stay in the table while one of
-  /// the upstreams does. No new flow is sent to them.
+  /// the upstreams does or is lost. No new flow is sent to them.
   std::set<std::string> RetiredServices;
 };
 
@@ -345,6 +351,8 @@
   std::set<ServiceId> used;
   for (const auto &[id, it] : Data.Upstreams)
     used.insert(it.Record.Service);
+  for (const LostUpstream &it : Data.LostUpstreams)
+    used.insert(it.Service);
   return used;
 }
 
@@ -374,6 +382,8 @@
   for (const UpstreamInfo &it : upstreams())
     if (it.Record.Service == id)
       removeUpstream(it.Record.Id, change);
+  std::erase_if(Data.LostUpstreams,
+                [&](const LostUpstream &it) { return it.Service == id; });
   change.Services.push_back(id);
   Data.Services.erase(name);
   RetiredServices.erase(name);
@@ -519,6 +529,9 @@
       return false;
     removeUpstream(previous->Record.Id, change);
   }
+  std::erase_if(Data.LostUpstreams, [&](const LostUpstream &it) {
+    return it.Address == command.Address;
+  });
   UpstreamInfo info;
   info.Record.Id = Data.LastUpstreamId =
       UpstreamId{Data.LastUpstreamId.Value + 1};
@@ -559,6 +572,14 @@
   if (it == Data.Upstreams.end() ||
       it->second.Record.ProcessIncarnation != command.ProcessIncarnation)
     return false;
+  // An upstream that leaves after it has become suspect was most likely removed
+  // by a timeout: it may still hold flows.
+  if (it->second.AnnouncedState == UpstreamState::Suspect) {
+    Data.LostUpstreams.push_back(
+        {it->second.Record.Address, it->second.Record.Service});
+    if (Data.LostUpstreams.size() > MaxLostUpstreams)
+      Data.LostUpstreams.pop_front();
+  }
   removeUpstream(command.Upstream, change);
   removeRetiredServices(change);
   return true;
--- a/Source/Core/Control/StateCodec.cpp
+++ b/Source/Core/Control/StateCodec.cpp
@@ -6,9 +6,13 @@
 namespace {
 
 /// Increased with every change of the layout below.
-constexpr std::uint32_t CurrentLayoutVersion = 2;
+constexpr std::uint32_t CurrentLayoutVersion = 3;
 /// The first layout has no routes. It can still be read.
 constexpr std::uint32_t FirstLayoutVersion = 1;
+/// This layout has no lost upstreams. It is written while there are none, so
+/// that members of the previous release can load the snapshot during an
+/// upgrade.
+constexpr std::uint32_t LayoutVersionWithoutLostUpstreams = 2;
 constexpr std::size_t MaxTextBytes = 2 * MaxRulesBytes;
 constexpr std::size_t MaxItems = 16 * 1024 * 1024;
 
@@ -54,6 +58,12 @@
   field(archive, it.AnnouncedState);
 }
 
+template <typename Archive>
+void archiveFields(Archive &archive, LostUpstream &it) {
+  field(archive, it.Address);
+  field(archive, it.Service);
+}
+
 template <typename Archive>
 void archiveFields(Archive &archive, BalancerRecord &it) {
   archiveFields(archive, it.Name);
@@ -154,6 +164,7 @@
   std::vector<RouteChanges> RouteHistory;
   std::uint64_t RoutingVersion = 0;
   std::string RoutingText;
+  std::deque<LostUpstream> LostUpstreams;
 };
 
 template <typename Archive>
@@ -184,6 +195,8 @@
         "route history and change history differ in length");
   field(archive, it.RoutingVersion);
   archiveFields(archive, it.RoutingText);
+  if (it.Version > LayoutVersionWithoutLostUpstreams)
+    archiveItems(archive, it.LostUpstreams);
 }
 
 template <typename Map> auto valuesOf(const Map &map) {
@@ -215,6 +228,9 @@
     it.RouteHistory.push_back({change.Routes});
   it.RoutingVersion = data.Routing.Version;
   it.RoutingText = data.Routing.Text;
+  it.LostUpstreams = data.LostUpstreams;
+  if (it.LostUpstreams.empty())
+    it.Version = LayoutVersionWithoutLostUpstreams;
   return it;
 }
 
@@ -239,6 +255,7 @@
   for (RouteRecord &it : snapshot.Routes)
     data.Routes.emplace(it.Address, std::move(it));
   data.Routing = {snapshot.RoutingVersion, std::move(snapshot.RoutingText)};
+  data.LostUpstreams = std::move(snapshot.LostUpstreams);
   data.Results.restore(snapshot.LogTimeMs, std::move(snapshot.Results));
   data.History.restore(snapshot.HistoryFloorRevision,
                        std::move(snapshot.History));
