Keep connection attempts going while others are begun

Causes, each a path on which a client finds no server that can be reached: - Each attempt was given up after 200 ms. On a link where a handshake takes longer (50 kB of queue at 2 Mbit/s), none ever succeeded. - The back-off, up to 1 s after 15 attempts, came after each attempt, so the one server of a list of eight that could be reached waited for seven others. - A list replaced the previous one. If an instance that was cut off or had just been restarted named only instances that were gone, the others were forgotten. - Attempts at 64 servers were remembered. Of more, the last were never tried. - A client that once had no server at all began no attempt again.

Change: ConnectAttempts decides without socket or clock. A new attempt still begins after 200 ms without a reply, but the earlier ones go on beside it for 3 s, and the first to succeed is used. The back-off is the time between two rounds through all servers. Servers of earlier lists are tried once all others have failed. OnConnectFailed reports each attempt that failed.

--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -57,6 +57,12 @@
 /// reused.
 using ConnectionId = StrongId<struct ConnectionIdTag, std::uint64_t>;
 
+struct FailedConnect {
+  Endpoint Server;
+  std::string Reason;
+  Duration Elapsed{0};
+};
+
 /// Callbacks of a TCP channel that carries messages as frames. A frame is one
 /// complete message of the Wire library, header and body. A connection is
 /// closed if its peer sends data without a valid message header.
@@ -64,6 +70,8 @@
   std::function<void(ConnectionId)> OnOpen;
   std::function<void(ConnectionId, std::span<const std::byte> frame)> OnFrame;
   std::function<void(ConnectionId)> OnClose;
+  /// Clients only: an attempt to connect has failed or was given up.
+  std::function<void(const FailedConnect &)> OnConnectFailed{};
 };
 
 /// Accepts TCP connections and exchanges frames over them.
@@ -84,14 +92,18 @@
           TcpHandlers handlers);
 
 /// Maintains one connection to any of several servers. If a connection fails or
-/// is closed, the client connects to the server that it tried least recently,
-/// after an exponential back-off with jitter.
+/// is closed, the client connects to the server that it tried least recently.
+/// It waits for a reply for 0.2 s before it tries the next one, and uses the
+/// first of the attempts that succeeds within 3 s. Between two rounds through
+/// all servers there is an exponential back-off with jitter.
 class TcpClient {
 public:
   virtual ~TcpClient() = default;
   virtual bool isOpen() const = 0;
   /// The server of the current connection, or of the latest one.
   virtual Endpoint server() const = 0;
+  /// How long the handshake of that connection took.
+  virtual Duration connectTime() const = 0;
   /// Sends a frame. The frame is dropped if there is no connection.
   virtual void send(std::span<const std::byte> frame) = 0;
   /// Bytes of frames that wait to be sent; 0 if there is no connection.
@@ -104,7 +116,8 @@
   /// not been tried are tried first, in random order, and then the configured
   /// ones. If the current server is not among them, the connection moves to one
   /// of them after a random delay of at most 2 s. It does so again only 10 s
-  /// later, in case none of them can be reached.
+  /// later, in case none of them can be reached. Servers of earlier lists are
+  /// tried after one attempt at each other server has failed.
   virtual void setAdvertisedServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -1,4 +1,5 @@
 #include "Runtime/AsioEndpoint.h"
+#include "Runtime/ConnectAttempts.h"
 #include "Runtime/Runtime.h"
 #include "Runtime/TcpConnection.h"
 
@@ -6,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <optional>
 #include <random>
 
@@ -15,34 +17,18 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr Duration InitialBackOff{50};
-/// Upper limit of the back-off for the first InitialAttempts attempts. It is
-/// low so that nodes that start at the same time as the control instances
-/// connect soon after those are ready. Later attempts are limited by
-/// MaxBackOff.
-constexpr Duration InitialMaxBackOff{200};
-constexpr int InitialAttempts = 15;
-constexpr Duration MaxBackOff{1000};
-/// Several round trips between regions. A server that is powered off does not
-/// reply at all, so the client has to give up on it and try another one.
-constexpr Duration ConnectTimeout{200};
-
 /// Upper limit of the random delay before a connection moves to an advertised
 /// server. It spreads the connections of many nodes over time.
 constexpr Duration MaxMoveDelay{2000};
 constexpr Duration MoveInterval{10000};
 
-/// Number of servers whose latest attempt is remembered. It exceeds the number
-/// of control instances of the largest deployments.
-constexpr std::size_t MaxTriedServers = 64;
-
 class AsioTcpClient : public TcpClient {
 public:
   AsioTcpClient(boost::asio::io_context &context, std::vector<Endpoint> servers,
                 TcpHandlers handlers)
       : Shared(std::make_shared<State>(context, std::move(servers),
                                        std::move(handlers))) {
-    Shared->connect();
+    Shared->poll();
   }
   ~AsioTcpClient() override { AsioTcpClient::stop(); }
   AsioTcpClient(const AsioTcpClient &) = delete;
@@ -50,6 +36,7 @@
 
   bool isOpen() const override { return Shared->Connection != nullptr; }
   Endpoint server() const override { return Shared->CurrentServer; }
+  Duration connectTime() const override { return Shared->ConnectTime; }
 
   void send(std::span<const std::byte> frame) override {
     if (Shared->Connection)
@@ -66,14 +53,11 @@
   }
 
   void setServers(std::vector<Endpoint> servers) override {
-    Shared->Configured = std::move(servers);
-    Shared->rebuildServers();
+    Shared->Attempts.setConfigured(std::move(servers));
   }
 
   void setAdvertisedServers(std::vector<Endpoint> servers) override {
-    Shared->Advertised = std::move(servers);
-    std::ranges::shuffle(Shared->Advertised, Shared->Random);
-    Shared->rebuildServers();
+    Shared->Attempts.setAdvertised(std::move(servers));
     Shared->moveIfNeeded();
   }
 
@@ -83,10 +67,7 @@
     Shared->Stopped = true;
     Shared->Timer.cancel();
     Shared->MoveTimer.cancel();
-    // The socket is closed already if the attempt has just timed out.
-    error_code ec;
-    if (Shared->ConnectingSocket)
-      Shared->ConnectingSocket->cancel(ec);
+    Shared->closeSockets();
     if (Shared->Connection)
       Shared->Connection->close();
     // The connection and the state refer to each other. The close handler,
@@ -99,38 +80,15 @@
     State(boost::asio::io_context &context, std::vector<Endpoint> servers,
           TcpHandlers handlers)
         : Context(context), Timer(context), MoveTimer(context),
-          Configured(std::move(servers)), Servers(Configured),
-          Handlers(std::move(handlers)), Random(std::random_device{}()) {}
-
-    void rebuildServers() {
-      Servers = Advertised;
-      std::ranges::copy_if(
-          Configured, std::back_inserter(Servers), [&](const Endpoint &it) {
-            return std::ranges::find(Advertised, it) == Advertised.end();
-          });
-    }
-
-    /// Returns the server that was tried least recently. Servers advertise
-    /// their list on every connection, and those that are cut off may advertise
-    /// different ones, so a position in the list would not tell which servers
-    /// have been tried.
-    Endpoint takeNextServer() {
-      const auto lastTried = [&](const Endpoint &it) {
-        const auto found = std::ranges::find(Tried, it);
-        return found == Tried.end() ? 0 : found - Tried.begin() + 1;
-      };
-      const Endpoint next = *std::ranges::min_element(Servers, {}, lastTried);
-      std::erase(Tried, next);
-      Tried.push_back(next);
-      if (Tried.size() > MaxTriedServers)
-        Tried.erase(Tried.begin());
-      return next;
-    }
+          Random(std::random_device{}()),
+          Attempts(std::move(servers), static_cast<std::uint32_t>(Random())),
+          Handlers(std::move(handlers)) {}
 
     void moveIfNeeded() {
       const auto now = std::chrono::steady_clock::now();
-      if (!Connection || Advertised.empty() ||
-          std::ranges::count(Advertised, CurrentServer) > 0 ||
+      const std::vector<Endpoint> &advertised = Attempts.advertised();
+      if (!Connection || advertised.empty() ||
+          std::ranges::count(advertised, CurrentServer) > 0 ||
           (LastMove && now - *LastMove < MoveInterval))
         return;
       LastMove = now;
@@ -146,41 +104,75 @@
       });
     }
 
-    void connect() {
-      if (Stopped || Servers.empty())
+    /// Gives up and begins attempts. It is called again when the next of them
+    /// is due.
+    void poll() {
+      if (Stopped)
         return;
-      const Endpoint server = takeNextServer();
-      auto socket = std::make_shared<tcp::socket>(Context);
-      ConnectingSocket = socket;
-      Timer.expires_after(ConnectTimeout);
-      Timer.async_wait([socket](error_code ec) {
-        // Closing the socket makes the connect fail, so that the next server is
-        // tried.
+      const TimePoint now = steadyNow();
+      for (const ConnectAttempt &it : Attempts.takeExpired(now)) {
+        if (const auto found = Sockets.find(it.Id); found != Sockets.end()) {
+          error_code ec;
+          found->second->close(ec);
+          Sockets.erase(found);
+        }
+        reportFailure(it, "timed out", now);
+      }
+      if (const auto attempt = Attempts.begin(now))
+        connect(*attempt);
+      const auto next = Attempts.nextEvent();
+      if (!next)
+        return;
+      Timer.expires_after(std::max(*next - now, Duration{0}));
+      Timer.async_wait([self = shared_from_this()](error_code ec) {
         if (!ec)
-          socket->close(ec);
+          self->poll();
       });
+    }
+
+    void connect(const ConnectAttempt &attempt) {
+      auto socket = std::make_shared<tcp::socket>(Context);
+      Sockets.emplace(attempt.Id, socket);
       socket->async_connect(
-          toAsio<tcp>(server),
-          [self = shared_from_this(), socket, server](error_code ec) {
-            self->Timer.cancel();
-            self->ConnectingSocket.reset();
-            if (self->Stopped)
+          toAsio<tcp>(attempt.Server),
+          [self = shared_from_this(), socket, attempt](error_code ec) {
+            // The attempt may have been given up, or another one has succeeded.
+            if (self->Stopped || self->Sockets.erase(attempt.Id) == 0)
               return;
-            if (ec || !socket->is_open())
-              return self->scheduleConnect();
-            self->CurrentServer = server;
+            const TimePoint now = steadyNow();
+            if (ec) {
+              self->reportFailure(attempt, ec.message(), now);
+              self->Attempts.onFailed(attempt.Id, now);
+              return self->poll();
+            }
+            self->closeSockets();
+            self->Timer.cancel();
+            self->Attempts.onOpen();
+            self->CurrentServer = attempt.Server;
+            self->ConnectTime = now - attempt.BeganAt;
             self->open(std::move(*socket));
           });
     }
 
+    void closeSockets() {
+      error_code ec;
+      for (const auto &it : Sockets)
+        it.second->close(ec);
+      Sockets.clear();
+    }
+
+    void reportFailure(const ConnectAttempt &attempt, std::string reason,
+                       TimePoint now) {
+      if (Handlers.OnConnectFailed)
+        Handlers.OnConnectFailed(
+            {attempt.Server, std::move(reason), now - attempt.BeganAt});
+    }
+
     void open(tcp::socket socket) {
       const ConnectionId id{++LastId};
       auto onFrame = [self = shared_from_this(),
                       id](std::span<const std::byte> frame) {
-        // Only a received frame resets the back-off. A server that accepts
-        // connections and closes them at once does not.
-        self->BackOff = InitialBackOff;
-        self->FailedAttempts = 0;
+        self->Attempts.onFrame();
         if (!self->Stopped)
           self->Handlers.OnFrame(id, frame);
       };
@@ -189,7 +181,8 @@
         if (self->Stopped)
           return;
         self->Handlers.OnClose(id);
-        self->scheduleConnect();
+        self->Attempts.onClose(steadyNow());
+        self->poll();
       };
       Connection = std::make_shared<TcpConnection>(
           std::move(socket), std::move(onFrame), std::move(onClose));
@@ -197,44 +190,20 @@
       Handlers.OnOpen(id);
     }
 
-    void scheduleConnect() {
-      if (Stopped)
-        return;
-      // Jitter prevents thousands of nodes from reconnecting to a control
-      // instance at the same time.
-      std::uniform_int_distribution<Duration::rep> jitter(BackOff.count() / 2,
-                                                          BackOff.count());
-      Timer.expires_after(Duration(jitter(Random)));
-      BackOff = std::min(BackOff * 2, ++FailedAttempts < InitialAttempts
-                                          ? InitialMaxBackOff
-                                          : MaxBackOff);
-      Timer.async_wait([self = shared_from_this()](error_code ec) {
-        if (!ec)
-          self->connect();
-      });
-    }
-
     boost::asio::io_context &Context;
     boost::asio::steady_timer Timer;
     boost::asio::steady_timer MoveTimer;
-    std::vector<Endpoint> Configured;
-    std::vector<Endpoint> Advertised;
-    /// Advertised and then configured servers. Those that have not been tried
-    /// are tried in this order.
-    std::vector<Endpoint> Servers;
-    /// Servers in the order of their latest attempts.
-    std::vector<Endpoint> Tried;
-    TcpHandlers Handlers;
     std::minstd_rand Random;
-    std::shared_ptr<tcp::socket> ConnectingSocket;
+    ConnectAttempts Attempts;
+    TcpHandlers Handlers;
+    /// The sockets of the attempts that go on.
+    std::map<ConnectAttemptId, std::shared_ptr<tcp::socket>> Sockets;
     std::shared_ptr<TcpConnection> Connection;
     /// Server of the latest connection.
     Endpoint CurrentServer;
+    Duration ConnectTime{0};
     std::optional<std::chrono::steady_clock::time_point> LastMove;
     std::uint64_t LastId = 0;
-    Duration BackOff = InitialBackOff;
-    /// Connection attempts since the last received frame.
-    int FailedAttempts = 0;
     bool Stopped = false;
   };
 
--- a/Source/UnitTests/Runtime/TcpTest.cpp
+++ b/Source/UnitTests/Runtime/TcpTest.cpp
@@ -202,6 +202,49 @@
   EXPECT_TRUE(runUntil(context, [&] { return working.Opened == 1; }));
 }
 
+// Guards against a client that opens several connections when the attempts at
+// a slow server succeed at the same time.
+TEST(TcpTest, OneOfSeveralAttemptsIsUsed) {
+  boost::asio::io_context context;
+  UnresponsiveServer server(context);
+  int opened = 0;
+  int closed = 0;
+  std::vector<FailedConnect> failed;
+  TcpHandlers handlers;
+  handlers.OnOpen = [&](ConnectionId) { ++opened; };
+  handlers.OnFrame = [](ConnectionId, std::span<const std::byte>) {};
+  handlers.OnClose = [&](ConnectionId) { ++closed; };
+  handlers.OnConnectFailed = [&](const FailedConnect &it) {
+    failed.push_back(it);
+  };
+  const auto client =
+      connectTcp(context, {server.endpoint()}, std::move(handlers));
+  ASSERT_TRUE(runUntil(context, [&] { return !failed.empty(); }));
+  EXPECT_EQ(failed.front().Server, server.endpoint());
+  EXPECT_EQ(failed.front().Reason, "timed out");
+  EXPECT_EQ(opened, 0);
+  std::vector<boost::asio::ip::tcp::socket> accepted;
+  std::function<void()> acceptNext = [&] {
+    server.Full.async_accept(
+        [&](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+          if (ec)
+            return;
+          accepted.push_back(std::move(socket));
+          acceptNext();
+        });
+  };
+  acceptNext();
+  ASSERT_TRUE(runUntil(context, [&] { return opened > 0; }));
+  // The attempts that went on beside it would succeed with the next
+  // retransmission of the system.
+  context.run_for(std::chrono::milliseconds(1500));
+  EXPECT_EQ(opened, 1);
+  EXPECT_EQ(closed, 0);
+  client->stop();
+  server.Full.close();
+  context.run_for(std::chrono::milliseconds(20));
+}
+
 class InvalidHeaderTest : public testing::TestWithParam<int> {};
 
 Bytes frameWithInvalidHeader(int row) {
