Wait for the first grant as long as the link needs

Cause: a control instance that had granted no lease 0.8 s after the connection was opened was left. Its first grant comes after the first part of the table (up to 256 kB, 1 s at 2 Mbit/s) and after what is queued in the link, so a balancer on a congested link left every instance before a grant could arrive, and asked the next one for the same table.

Change: GrantWatch allows twice the duration of the handshake more, at most 1.2 s, until something has arrived, and counts each part of the first table of a connection as progress. An instance that answers without a lease, or sends updates without grants, is left after 0.8 s as before. New events: control_connect_failed names the outcome of each attempt, control_disconnected the end of a connection; control_connected has connect_ms.

--- a/Source/Balancer/ControlLink.cpp
+++ b/Source/Balancer/ControlLink.cpp
@@ -7,10 +7,6 @@
 namespace pistachio {
 namespace {
 
-/// A control instance that grants no lease for this long may be disconnected
-/// from the leader.
-constexpr Duration GrantTimeout{800};
-
 /// Minimum interval between two queries for the latest revision.
 constexpr Duration TableQueryInterval{50};
 /// A query without a reply for this long is repeated.
@@ -27,19 +23,28 @@
     onFrame(frame);
   };
   tcp.OnClose = [this](ConnectionId) {
+    logEvent(LogLevel::Info, "control_disconnected", "",
+             {{"server", toString(Client->server())}});
     PendingRequestTimes.clear();
     IsQueryOutstanding = false;
   };
+  tcp.OnConnectFailed = [](const FailedConnect &attempt) {
+    logEvent(LogLevel::Info, "control_connect_failed", "",
+             {{"server", toString(attempt.Server)},
+              {"reason", attempt.Reason},
+              {"after_ms", std::to_string(attempt.Elapsed.count())}});
+  };
   Client = connectTcp(context, Options.Control, std::move(tcp));
 }
 
 void ControlLink::onOpen() {
   logEvent(LogLevel::Info, "control_connected", "",
            {{"server", toString(Client->server())},
+            {"connect_ms", std::to_string(Client->connectTime().count())},
             {"revision", std::to_string(table()->revision().Value)}});
   PendingRequestTimes.clear();
   Replica.discardParts();
-  LastGrantAt = steadyNow();
+  Watch.onOpen(steadyNow(), Client->connectTime());
   Bytes buf;
   if (encodeNode(Subscribe{Options.Node, Options.DataCentre, Options.Address,
                            table()->revision()},
@@ -60,14 +65,13 @@
 }
 
 void ControlLink::renewLease(TimePoint now) {
-  if (Client->isOpen() && now - LastGrantAt > GrantTimeout) {
+  if (Client->isOpen() && Watch.isOverdue(now)) {
     logEvent(LogLevel::Warning, "control_instance_left",
              "the control instance granted no lease in time; connecting to the "
              "next one",
              {{"server", toString(Client->server())},
-              {"silent_ms", std::to_string((now - LastGrantAt).count())},
+              {"silent_ms", std::to_string(Watch.silence(now).count())},
               {"revision", std::to_string(table()->revision().Value)}});
-    LastGrantAt = now;
     Client->reconnect();
     return;
   }
@@ -113,8 +117,7 @@
     return;
   const TimePoint sentAt = PendingRequestTimes.front();
   PendingRequestTimes.pop_front();
-  if (grant->ValidMs > 0)
-    LastGrantAt = steadyNow();
+  Watch.onReply(steadyNow(), grant->ValidMs > 0);
   Callbacks.OnGrant(*grant, sentAt);
 }
 
@@ -127,6 +130,7 @@
         {{"error", changed.status().ToString()}});
     return Client->reconnect();
   }
+  Watch.onTablePart(steadyNow(), update.Part + 1 == update.Parts);
   if (!*changed)
     return;
   Callbacks.OnTable();
--- a/Source/Balancer/ControlLink.h
+++ b/Source/Balancer/ControlLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "GrantWatch.h"
 #include "Routing/Routing.h"
 #include "Runtime/Runtime.h"
 
@@ -34,8 +35,8 @@
               Handlers handlers);
 
   ServiceTablePtr table() const { return Replica.table(); }
-  /// Requests a lease. If none was granted within GrantTimeout, it connects to
-  /// the next control instance instead.
+  /// Requests a lease. If none was granted in time, it connects to the next
+  /// control instance instead.
   void renewLease(TimePoint now);
   /// Asks control for the latest committed revision. Does nothing while a
   /// query is outstanding, or shortly after the latest one.
@@ -58,7 +59,7 @@
   /// Send times of the requests without an answer. Answers arrive in the order
   /// of the requests.
   std::deque<TimePoint> PendingRequestTimes;
-  TimePoint LastGrantAt{};
+  GrantWatch Watch;
   /// The latest TableQuery, and when it was sent.
   std::uint32_t LastQuery = 0;
   std::optional<TimePoint> LastQueryAt;
