Accept new flows before the first report of a live upstream

Cause: a restarted agent declined each new flow until the next report of its upstream, up to 1.2 s later, and told balancers to stay away for 2 s. The few upstreams whose reports came first got all new flows and were overrun.

Change: an upstream that has sent or returned a packet since its agent started is alive. It gets new flows as if it had one slot and were in a cold start, until its first report is due; other agents that wait for a report are asked again after 250 ms.

--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -29,6 +29,11 @@
 /// none: one that drains, has ended or sends no reports, or of another service.
 constexpr Duration UnavailableRetryDelay{2000};
 
+/// How long a balancer should send no new flow to an upstream that has neither
+/// reported nor sent a packet since its agent started. Either may happen at any
+/// moment.
+constexpr Duration FirstReportRetryDelay{250};
+
 /// How long a balancer should send no new flow to an upstream whose slots are
 /// all busy.
 constexpr Duration BusyRetryDelay{20};
@@ -157,6 +162,16 @@
   double requestsPerSlotLimit() const;
   void recordAnswerTime(const Flow &flow, Duration elapsed);
   std::optional<Duration> declineDelay(std::uint8_t attempt, TimePoint now);
+  /// Returns whether an upstream that has not reported since the agent started
+  /// gets new flows. If all agents restart at once, all upstreams would decline
+  /// for a report interval.
+  bool acceptsBeforeReport(TimePoint now) const {
+    return IsUpstreamSeen && RunningSince &&
+           now - *RunningSince < Options.ReportTimeout;
+  }
+  /// Returns whether the upstream is in a cold start or may be, because it has
+  /// not reported yet.
+  bool mayBeCold(TimePoint now) const { return !HasReport || now < ColdUntil; }
   bool isWithinColdRateLimit(TimePoint now);
   void deliver(RelayedPacket &message, const Endpoint &balancer,
                RelayOutput &out);
@@ -195,6 +210,8 @@
   bool IsLaterLifetime = false;
   bool Ended = false;
   bool Withdrawn = false;
+  /// The upstream has sent or returned a packet since the agent started.
+  bool IsUpstreamSeen = false;
   TimePoint LastReportAt{};
   TimePoint ColdUntil{};
   /// Cold-start rate from the latest first packet.
@@ -400,7 +417,7 @@
 /// Sliding-window rate limit: returns whether a cold upstream may get one more
 /// first packet now.
 bool UpstreamRelayImpl::isWithinColdRateLimit(TimePoint now) {
-  if (now >= ColdUntil || ColdMilliflowsPerSecond == UnlimitedColdRate)
+  if (!mayBeCold(now) || ColdMilliflowsPerSecond == UnlimitedColdRate)
     return true;
   while (!ColdOpens.empty() && now - ColdOpens.front() >= ColdWindow)
     ColdOpens.pop_front();
@@ -422,7 +439,11 @@
 /// upstream accepts a new flow now.
 std::optional<Duration> UpstreamRelayImpl::declineDelay(std::uint8_t attempt,
                                                         TimePoint now) {
-  if (state(now) != LocalUpstreamState::Accepting || Withdrawn)
+  const LocalUpstreamState current = state(now);
+  const bool isWaiting = current == LocalUpstreamState::Waiting;
+  if (isWaiting && !acceptsBeforeReport(now))
+    return FirstReportRetryDelay;
+  if ((current != LocalUpstreamState::Accepting && !isWaiting) || Withdrawn)
     return UnavailableRetryDelay;
   if (now < UnansweredUntil)
     return UnansweredUntil - now;
@@ -431,9 +452,10 @@
   if (!isWithinColdRateLimit(now)) {
     // If the limit is less than one flow, there is no earlier flow whose expiry
     // could be awaited.
+    const TimePoint end = HasReport ? ColdUntil : now + FirstReportRetryDelay;
     const TimePoint free =
-        ColdOpens.empty() ? ColdUntil : ColdOpens.front() + ColdWindow;
-    return std::min(free, ColdUntil) - now;
+        ColdOpens.empty() ? end : ColdOpens.front() + ColdWindow;
+    return std::min(free, end) - now;
   }
   // On its first attempt, a flow is declined as soon as it would have to wait
   // for a slot, because the balancer may find a less loaded upstream. On later
@@ -493,7 +515,7 @@
   if (const auto wait = declineDelay(message.Attempt, now))
     return returnToBalancer(ReturnReason::Declined, message.Attempt, *wait,
                             std::move(message.Packet), balancer, out);
-  if (now < ColdUntil)
+  if (mayBeCold(now))
     ColdOpens.push_back(now);
   if (known != nullptr) {
     erase(endpoints);
@@ -629,6 +651,7 @@
     ++Counts.Malformed;
     return;
   }
+  IsUpstreamSeen = true;
   if (packet->Returned)
     return onReturnedByUpstream(*packet, buf, out);
   const FlowEndpoints endpoints{packet->Destination, packet->Source};
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -226,7 +226,35 @@
   return report;
 }
 
+/// The agent has restarted, and its upstream sends a packet of a flow.
+void restartBesideALiveUpstream(UpstreamRelay &relay, TimePoint &now) {
+  RelayOutput output;
+  relay.tick(now, output);
+  FlowPacket packet;
+  packet.Source = RouteAddress;
+  packet.Destination = callerEndpoint(900);
+  packet.Acknowledges = true;
+  packet.DataBytes = 10;
+  relay.onUpstreamPacket(TestPacketFormat::encode(packet), now, output);
+}
+
 const DeclineCase DeclineCases[] = {
+    {"RestartedBesideALiveUpstream",
+     "no new flows for a report interval after all agents have restarted",
+     restartBesideALiveUpstream, false},
+    {"NoReportInTime", "a flow for an upstream that never reports",
+     [](UpstreamRelay &relay, TimePoint &now) {
+       restartBesideALiveUpstream(relay, now);
+       now += UpstreamRelayOptions{}.ReportTimeout;
+     },
+     true},
+    {"RestartedAndWithdrawn",
+     "a flow for a data centre that is out of service, after a restart",
+     [](UpstreamRelay &relay, TimePoint &now) {
+       restartBesideALiveUpstream(relay, now);
+       relay.setUpstreamWithdrawn(true);
+     },
+     true},
     {"NoReport", "a flow for an upstream that has not reported yet",
      [](UpstreamRelay &, TimePoint &) {}, true},
     {"Ready", "an accepting upstream that gets no flow",
@@ -423,6 +451,31 @@
   }
 }
 
+// Guards against a restarted agent that does not know that its upstream is in
+// a cold start.
+TEST_F(UpstreamRelayTest, ColdBoundHoldsBeforeTheFirstReport) {
+  ColdRate = 0;
+  restartBesideALiveUpstream(*Relay, Now);
+  int taken = 0;
+  for (std::uint16_t caller = 1; caller <= 50; ++caller) {
+    const RelayOutput output = relayPacket(firstPacket(caller));
+    taken += isDeclined(output) ? 0 : 1;
+    if (const auto returned = messageOf<ReturnedPacket>(output)) {
+      EXPECT_GT(returned->RetryAfterMs, 0);
+    }
+    answerRequest(caller);
+  }
+  EXPECT_EQ(taken, 5);
+}
+
+// Guards against balancers that avoid an agent for seconds after it has
+// restarted, although the first report of its upstream is due any moment.
+TEST_F(UpstreamRelayTest, RestartedAgentIsAskedAgainSoon) {
+  const auto returned = messageOf<ReturnedPacket>(relayPacket(firstPacket(1)));
+  ASSERT_TRUE(returned);
+  EXPECT_LE(returned->RetryAfterMs, 250);
+}
+
 // Guards against treating a cold-start rate of 0 as no bound.
 TEST_F(UpstreamRelayTest, ColdRateOfZeroAllowsTheSlackOnly) {
   ColdRate = 0;
