Add a scheduler for the datagrams of a narrow link

A balancer whose callers upload more than its link carries queues first packets and small requests behind uploads, and the link then carries the duplicates that callers send meanwhile.

LinkScheduler keeps the queue in the balancer: at most 95% of the configured rate is sent, resets, queries and first packets first, then packets of flows that have carried up to 2 KiB and 8 KiB, then bulk, in turn by flow. Copies of waiting packets are dropped, and new flows of routes with much data are refused while the admitted ones would take the link for 1.8 s.

Found while the tests were written: with one class for flows of up to 8 KiB a request waited 172 ms after a restart in a burst, hence the class "medium". With a limit of 2 s for admitted flows, packets still waited 2 s after a burst. Averages that count flows which the process has not seen opening kept it from refusing after a restart.

--- /dev/null
+++ b/Source/Core/Relay/LinkScheduler.cpp
@@ -0,0 +1,607 @@
+#include "Relay/LinkScheduler.h"
+
+#include "Relay/Relay.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+
+namespace pistachio {
+namespace {
+
+/// Headers of IP and UDP.
+constexpr std::size_t HeaderBytes = 28;
+/// Share of the link that is used. The rest keeps the queue out of the link
+/// although the rate of the link is not known exactly.
+constexpr double UsedShare = 0.95;
+/// Flows that have carried more data than this are bulk, and so are routes
+/// whose flows carry more on average.
+constexpr std::uint32_t BulkBytes = 8 * 1024;
+/// Flows that have carried more than this are no longer small: a request of one
+/// packet goes before the first packets of many uploads.
+constexpr std::uint32_t SmallBytes = 2 * 1024;
+/// Part of the rate that bulk gets while other classes fill the link.
+constexpr double MinBulkShare = 0.1;
+/// Bulk packets that wait longer are dropped, because their sender has
+/// retransmitted them (callers do so after 200 ms).
+constexpr Duration MaxBulkWait{400};
+constexpr Duration MaxWait{200};
+/// A flow without a packet for this long counts as ended. Callers retransmit
+/// at least every 1.6 s.
+constexpr Duration IdleTimeout{2000};
+/// New flows are refused while those that have been admitted would occupy the
+/// link for longer than this. Retransmission timers leave the link idle for a
+/// part of the time, so it is less than the 2 s within which a burst must end.
+constexpr Duration MaxAdmittedWork{1800};
+/// Bytes on the link for each byte of data in full packets: 1,200 bytes of data
+/// take about 1,290.
+constexpr double LinkBytesPerDataByte = 1.08;
+/// Time for which a balancer that was idle may exceed the rate. It covers the
+/// delays of the timer that sends waiting packets.
+constexpr Duration BurstTime{10};
+/// At least two packets of the largest size.
+constexpr double MinBurstBytes = 2800;
+constexpr Duration CongestedWait{50};
+/// Congestion ends after this long without a packet that waited for
+/// CongestedWait. Answers to packets that waited arrive within this time.
+constexpr Duration CongestionHold{500};
+constexpr Duration ReportInterval{1000};
+constexpr Duration SweepInterval{250};
+constexpr std::size_t MaxFlows = 65536;
+constexpr std::size_t MaxRoutes = 65536;
+/// Limit of the memory of one class of waiting packets: what a link of 100
+/// Mbit/s sends within MaxBulkWait.
+constexpr std::size_t MaxQueueBytes = 6 * 1024 * 1024;
+/// Memory of a waiting packet in addition to its data, approximately.
+constexpr std::size_t PacketOverheadBytes = 256;
+/// Weight of the latest flow in the average of its route.
+constexpr double AverageWeight = 0.125;
+
+/// Identifies copies of a packet. Packets without data may differ in what they
+/// acknowledge, so their content is part of the key.
+std::uint64_t keyOf(const DatagramInfo &info, std::span<const std::byte> data) {
+  const std::uint64_t content =
+      info.DataBytes > 0 || info.Opens ? info.Sequence : checksum32(data);
+  const std::uint64_t kind = (std::uint64_t{info.DataBytes} << 16) |
+                             (info.Opens ? 0x100U : 0U) |
+                             static_cast<std::uint64_t>(info.Content);
+  return mix64(mix64((std::uint64_t{info.To.Address} << 16) | info.To.Port) +
+               hashFlowEndpoints(info.Flow)) ^
+         mix64((kind << 32) + content);
+}
+
+/// Packets of one class. They are taken in turn by flow, so that a flow with
+/// many waiting packets does not delay those of other flows.
+class FairQueue {
+public:
+  struct Waiting {
+    DatagramInfo Info;
+    Bytes Data;
+    TimePoint Arrived{};
+    std::uint64_t Key = 0;
+  };
+
+  bool isEmpty() const { return Packets.empty(); }
+  std::size_t length() const { return Packets.size(); }
+  /// Memory of the waiting packets.
+  std::size_t memoryBytes() const { return MemoryBytes; }
+  /// Bytes that the waiting packets take on the link.
+  std::size_t linkBytes() const {
+    return MemoryBytes - Packets.size() * (PacketOverheadBytes - HeaderBytes);
+  }
+  TimePoint oldestArrival() const { return Packets.begin()->second.Arrived; }
+  /// Returns whether the queue has a packet with this key.
+  bool contains(std::uint64_t key) const { return Keys.contains(key); }
+  void push(Waiting packet);
+  /// Returns the packet whose turn it is. The queue must not be empty.
+  const Waiting &next();
+  /// Removes and returns the packet of next().
+  Waiting pop();
+  /// Removes the packet that has waited for longest.
+  void dropOldest();
+
+private:
+  Waiting remove(std::uint64_t id);
+
+  /// By order of arrival.
+  std::map<std::uint64_t, Waiting> Packets;
+  std::uint64_t LastId = 0;
+  std::size_t MemoryBytes = 0;
+  /// The waiting packets of each flow, oldest first. A flow is listed once in
+  /// Turns for as long as it has an entry here.
+  absl::flat_hash_map<FlowEndpoints, std::vector<std::uint64_t>,
+                      std::hash<FlowEndpoints>>
+      Flows;
+  std::deque<FlowEndpoints> Turns;
+  absl::flat_hash_set<std::uint64_t> Keys;
+};
+
+void FairQueue::push(Waiting packet) {
+  const auto [flow, isNew] = Flows.try_emplace(packet.Info.Flow);
+  if (isNew)
+    Turns.push_back(packet.Info.Flow);
+  flow->second.push_back(++LastId);
+  Keys.insert(packet.Key);
+  MemoryBytes += packet.Data.size() + PacketOverheadBytes;
+  Packets.emplace(LastId, std::move(packet));
+}
+
+const FairQueue::Waiting &FairQueue::next() {
+  while (true) {
+    const auto flow = Flows.find(Turns.front());
+    if (!flow->second.empty())
+      return Packets.at(flow->second.front());
+    Flows.erase(flow);
+    Turns.pop_front();
+  }
+}
+
+FairQueue::Waiting FairQueue::pop() {
+  const FlowEndpoints flow = next().Info.Flow;
+  const auto it = Flows.find(flow);
+  Waiting packet = remove(it->second.front());
+  Turns.pop_front();
+  if (it->second.empty())
+    Flows.erase(it);
+  else
+    Turns.push_back(flow);
+  return packet;
+}
+
+void FairQueue::dropOldest() {
+  remove(Packets.begin()->first);
+  // Only next() removes flows without packets, and it is not called before
+  // there are further packets.
+  if (Packets.empty()) {
+    Flows.clear();
+    Turns.clear();
+  }
+}
+
+FairQueue::Waiting FairQueue::remove(std::uint64_t id) {
+  Waiting packet = std::move(Packets.extract(id).mapped());
+  MemoryBytes -= packet.Data.size() + PacketOverheadBytes;
+  Keys.erase(packet.Key);
+  // Within a flow the oldest packet is always the first to go.
+  std::vector<std::uint64_t> &ids = Flows.find(packet.Info.Flow)->second;
+  ids.erase(ids.begin());
+  return packet;
+}
+
+/// Bytes sent in the last second, in steps of a tenth.
+class RecentBytes {
+public:
+  void add(std::size_t bytes, TimePoint now) {
+    advance(now);
+    Steps[Current % Steps.size()] += bytes;
+    Sum += bytes;
+  }
+  std::uint64_t sum(TimePoint now) {
+    advance(now);
+    return Sum;
+  }
+
+private:
+  void advance(TimePoint now) {
+    const std::int64_t step = now.time_since_epoch() / Duration(100);
+    if (step - Current >= static_cast<std::int64_t>(Steps.size())) {
+      Steps.fill(0);
+      Sum = 0;
+      Current = step;
+    }
+    while (Current < step) {
+      std::uint64_t &oldest = Steps[++Current % Steps.size()];
+      Sum -= oldest;
+      oldest = 0;
+    }
+  }
+
+  std::array<std::uint64_t, 10> Steps{};
+  std::uint64_t Sum = 0;
+  std::int64_t Current = 0;
+};
+
+struct FlowState {
+  /// Data that the flow has carried, without retransmissions.
+  std::uint32_t Carried = 0;
+  /// Sequence number after the last byte of data.
+  std::uint32_t Furthest = 0;
+  std::optional<std::uint32_t> OpeningSequence;
+  /// Data that has been sent, including retransmissions.
+  std::uint32_t Sent = 0;
+  /// Data that the flow is still expected to carry. Above 0 only on bulk
+  /// routes.
+  std::uint32_t Expected = 0;
+  bool IsOfBulkRoute = false;
+  /// No more data is expected.
+  bool HasEnded = false;
+  TimePoint LastPacketAt{};
+};
+
+struct RouteState {
+  /// Average data of the flows that have ended. Before the first one has ended,
+  /// twice the most that an open flow has carried: after a restart amid uploads
+  /// it takes long until one ends.
+  double AverageBytes = 0;
+  bool HasEndedFlow = false;
+};
+
+class LinkSchedulerImpl final : public LinkScheduler {
+public:
+  explicit LinkSchedulerImpl(double mbitPerSecond)
+      : BytesPerSecond(mbitPerSecond * 1e6 / 8 * UsedShare),
+        BurstBytes(
+            std::max(MinBurstBytes, BytesPerSecond * toSeconds(BurstTime))),
+        Tokens(BurstBytes) {}
+
+  bool add(const DatagramInfo &info, std::span<const std::byte> data,
+           TimePoint now) override;
+  std::vector<OutgoingPacket> take(TimePoint now) override;
+  std::optional<Duration> waitTime(TimePoint now) const override;
+  bool admits(const Endpoint &serviceAddress, TimePoint now) override;
+  bool isCongested(TimePoint now) const override {
+    return LastLongWaitAt && now - *LastLongWaitAt < CongestionHold;
+  }
+  std::optional<LinkReport> takeReport(TimePoint now) override;
+  const LinkCounters &counters() const override { return Counters; }
+  std::size_t queueLength() const override;
+  std::size_t flowCount() const override { return Flows.size(); }
+
+private:
+  /// Records the packet in the state of its flow and returns its class.
+  LinkClass classify(const DatagramInfo &info, TimePoint now);
+  FlowState &flowOf(const DatagramInfo &info, TimePoint now);
+  /// Includes the data of an ended flow in the average of its route.
+  void recordEnd(const FlowEndpoints &flow, FlowState &state);
+  /// Sets FlowState::Expected from the average of the route.
+  void estimate(const FlowEndpoints &flow, FlowState &state);
+  void setExpected(FlowState &state, std::uint32_t bytes);
+  RouteState &routeOf(const Endpoint &serviceAddress);
+  bool isBulkRoute(const Endpoint &serviceAddress) const;
+  double tokensAt(TimePoint now) const;
+  void refill(TimePoint now);
+  void recordSent(LinkClass linkClass, const DatagramInfo &info,
+                  std::size_t linkBytes, TimePoint now);
+  void recordWait(Duration waited, TimePoint now);
+  /// Returns whether a packet waits in one of the classes down to \p lowest.
+  bool isAnyWaiting(LinkClass lowest) const;
+  /// Returns whether it is the turn of bulk, in spite of its low priority.
+  bool owesBulk();
+  std::optional<LinkClass> nextClass();
+  void dropExpired(TimePoint now);
+  /// Removes idle flows and estimates the rest of the others anew.
+  void updateFlows(TimePoint now);
+  FairQueue &queueOf(LinkClass it) {
+    return Queues[static_cast<std::size_t>(it)];
+  }
+  const FairQueue &queueOf(LinkClass it) const {
+    return Queues[static_cast<std::size_t>(it)];
+  }
+
+  double BytesPerSecond;
+  double BurstBytes;
+  /// Bytes that may be sent now. Negative after a packet that was larger.
+  double Tokens;
+  TimePoint TokensAt{};
+  std::array<FairQueue, LinkClassCount> Queues;
+  /// Bytes that bulk may send before the other classes.
+  double BulkCredit = 0;
+  absl::flat_hash_map<FlowEndpoints, FlowState, std::hash<FlowEndpoints>> Flows;
+  absl::flat_hash_map<Endpoint, RouteState, std::hash<Endpoint>> Routes;
+  /// Sum of FlowState::Expected.
+  std::uint64_t Expected = 0;
+  /// Bytes of packets that belong neither to a bulk flow nor to a bulk route.
+  RecentBytes OtherBytes;
+  TimePoint LastSweep{};
+  std::optional<TimePoint> LastLongWaitAt;
+  bool IsReportedCongested = false;
+  TimePoint LastReportAt{};
+  /// LinkCounters::SentBytes at the latest report.
+  std::array<std::uint64_t, LinkClassCount> ReportedBytes{};
+  Duration LongestWait{0};
+  LinkCounters Counters;
+};
+
+double LinkSchedulerImpl::tokensAt(TimePoint now) const {
+  if (TokensAt == TimePoint{})
+    return Tokens;
+  return std::min(BurstBytes,
+                  Tokens + toSeconds(now - TokensAt) * BytesPerSecond);
+}
+
+void LinkSchedulerImpl::refill(TimePoint now) {
+  Tokens = tokensAt(now);
+  TokensAt = now;
+}
+
+bool LinkSchedulerImpl::add(const DatagramInfo &info,
+                            std::span<const std::byte> data, TimePoint now) {
+  const LinkClass linkClass = classify(info, now);
+  refill(now);
+  if (Tokens > 0 && !isAnyWaiting(linkClass) && !owesBulk()) {
+    recordSent(linkClass, info, data.size() + HeaderBytes, now);
+    return true;
+  }
+  FairQueue &queue = queueOf(linkClass);
+  const std::uint64_t key = keyOf(info, data);
+  if (info.Content != DatagramInfo::Kind::Query && queue.contains(key)) {
+    ++Counters.Copies;
+    return false;
+  }
+  queue.push({info, Bytes(data.begin(), data.end()), now, key});
+  while (queue.memoryBytes() > MaxQueueBytes) {
+    queue.dropOldest();
+    ++Counters.Overflowed[static_cast<std::size_t>(linkClass)];
+  }
+  return false;
+}
+
+LinkClass LinkSchedulerImpl::classify(const DatagramInfo &info, TimePoint now) {
+  updateFlows(now);
+  if (info.Content != DatagramInfo::Kind::Relayed)
+    return LinkClass::Urgent;
+  FlowState &flow = flowOf(info, now);
+  flow.LastPacketAt = now;
+  const std::uint32_t end = info.Sequence + info.DataBytes;
+  if (const auto ahead = static_cast<std::int32_t>(end - flow.Furthest);
+      ahead > 0) {
+    flow.Carried += std::min<std::uint32_t>(ahead, info.DataBytes);
+    flow.Furthest = end;
+  }
+  if (flow.Carried > BulkBytes && !flow.HasEnded) {
+    RouteState &route = routeOf(info.Flow.Service);
+    if (!route.HasEndedFlow)
+      route.AverageBytes =
+          std::max<double>(route.AverageBytes, 2.0 * flow.Carried);
+  }
+  if (info.Ends)
+    recordEnd(info.Flow, flow);
+  if (info.Opens)
+    return LinkClass::Urgent;
+  return flow.Carried <= SmallBytes  ? LinkClass::Small
+         : flow.Carried <= BulkBytes ? LinkClass::Medium
+                                     : LinkClass::Bulk;
+}
+
+FlowState &LinkSchedulerImpl::flowOf(const DatagramInfo &info, TimePoint now) {
+  const auto it = Flows.find(info.Flow);
+  const bool isKnown = it != Flows.end();
+  if (isKnown && (!info.Opens || it->second.OpeningSequence == info.Sequence))
+    return it->second;
+  if (!isKnown && Flows.size() >= MaxFlows) {
+    setExpected(Flows.begin()->second, 0);
+    Flows.erase(Flows.begin());
+  }
+  FlowState &flow = Flows[info.Flow];
+  setExpected(flow, 0);
+  flow = {};
+  flow.Furthest = info.Sequence;
+  flow.LastPacketAt = now;
+  if (!info.Opens)
+    return flow;
+  flow.OpeningSequence = info.Sequence;
+  estimate(info.Flow, flow);
+  return flow;
+}
+
+void LinkSchedulerImpl::estimate(const FlowEndpoints &flow, FlowState &state) {
+  const auto route = Routes.find(flow.Service);
+  const bool hasData = state.OpeningSequence || state.Carried > 0;
+  state.IsOfBulkRoute =
+      route != Routes.end() && route->second.AverageBytes > BulkBytes;
+  const double rest = state.IsOfBulkRoute && hasData && !state.HasEnded
+                          ? route->second.AverageBytes - state.Sent
+                          : 0;
+  setExpected(state, static_cast<std::uint32_t>(std::max(rest, 0.0)));
+}
+
+void LinkSchedulerImpl::setExpected(FlowState &state, std::uint32_t bytes) {
+  Expected = Expected - state.Expected + bytes;
+  state.Expected = bytes;
+}
+
+bool LinkSchedulerImpl::isBulkRoute(const Endpoint &serviceAddress) const {
+  const auto it = Routes.find(serviceAddress);
+  return it != Routes.end() && it->second.AverageBytes > BulkBytes;
+}
+
+void LinkSchedulerImpl::recordEnd(const FlowEndpoints &flow, FlowState &state) {
+  setExpected(state, 0);
+  if (std::exchange(state.HasEnded, true))
+    return;
+  // Of a flow that this process has not seen opening, or that is idle before
+  // its first data, it knows only a part.
+  if (!state.OpeningSequence || state.Carried == 0)
+    return;
+  RouteState &route = routeOf(flow.Service);
+  const double weight = route.HasEndedFlow ? AverageWeight : 1;
+  route.AverageBytes += weight * (state.Carried - route.AverageBytes);
+  route.HasEndedFlow = true;
+}
+
+RouteState &LinkSchedulerImpl::routeOf(const Endpoint &serviceAddress) {
+  if (Routes.size() >= MaxRoutes && !Routes.contains(serviceAddress))
+    Routes.erase(Routes.begin());
+  return Routes[serviceAddress];
+}
+
+void LinkSchedulerImpl::updateFlows(TimePoint now) {
+  if (now - LastSweep < SweepInterval)
+    return;
+  LastSweep = now;
+  absl::erase_if(Flows, [&](auto &it) {
+    if (now - it.second.LastPacketAt < IdleTimeout) {
+      // The average may have changed since the flow opened.
+      estimate(it.first, it.second);
+      return false;
+    }
+    recordEnd(it.first, it.second);
+    return true;
+  });
+}
+
+bool LinkSchedulerImpl::isAnyWaiting(LinkClass lowest) const {
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(lowest); ++i)
+    if (!Queues[i].isEmpty())
+      return true;
+  return false;
+}
+
+void LinkSchedulerImpl::recordSent(LinkClass linkClass,
+                                   const DatagramInfo &info,
+                                   std::size_t linkBytes, TimePoint now) {
+  Tokens -= static_cast<double>(linkBytes);
+  Counters.SentBytes[static_cast<std::size_t>(linkClass)] += linkBytes;
+  const FairQueue &bulk = queueOf(LinkClass::Bulk);
+  if (linkClass == LinkClass::Bulk || bulk.isEmpty())
+    BulkCredit = 0;
+  else
+    BulkCredit +=
+        static_cast<double>(linkBytes) * MinBulkShare / (1 - MinBulkShare);
+  const auto flow = Flows.find(info.Flow);
+  const bool isKnown = flow != Flows.end();
+  if (linkClass != LinkClass::Bulk && !(isKnown && flow->second.IsOfBulkRoute))
+    OtherBytes.add(linkBytes, now);
+  if (!isKnown)
+    return;
+  FlowState &state = flow->second;
+  state.Sent += info.DataBytes;
+  setExpected(state, state.Expected - std::min<std::uint32_t>(state.Expected,
+                                                              info.DataBytes));
+}
+
+void LinkSchedulerImpl::recordWait(Duration waited, TimePoint now) {
+  LongestWait = std::max(LongestWait, waited);
+  if (waited > CongestedWait)
+    LastLongWaitAt = now;
+}
+
+bool LinkSchedulerImpl::owesBulk() {
+  FairQueue &bulk = queueOf(LinkClass::Bulk);
+  return !bulk.isEmpty() &&
+         BulkCredit >=
+             static_cast<double>(bulk.next().Data.size() + HeaderBytes);
+}
+
+std::optional<LinkClass> LinkSchedulerImpl::nextClass() {
+  if (owesBulk())
+    return LinkClass::Bulk;
+  for (const LinkClass it : {LinkClass::Urgent, LinkClass::Small,
+                             LinkClass::Medium, LinkClass::Bulk})
+    if (!queueOf(it).isEmpty())
+      return it;
+  return std::nullopt;
+}
+
+void LinkSchedulerImpl::dropExpired(TimePoint now) {
+  for (std::size_t i = 0; i < Queues.size(); ++i) {
+    const Duration limit =
+        static_cast<LinkClass>(i) == LinkClass::Bulk ? MaxBulkWait : MaxWait;
+    while (!Queues[i].isEmpty() && now - Queues[i].oldestArrival() > limit) {
+      recordWait(now - Queues[i].oldestArrival(), now);
+      Queues[i].dropOldest();
+      ++Counters.Expired[i];
+    }
+  }
+}
+
+std::vector<OutgoingPacket> LinkSchedulerImpl::take(TimePoint now) {
+  refill(now);
+  dropExpired(now);
+  std::vector<OutgoingPacket> packets;
+  while (Tokens > 0) {
+    const std::optional<LinkClass> linkClass = nextClass();
+    if (!linkClass)
+      break;
+    FairQueue::Waiting it = queueOf(*linkClass).pop();
+    const Duration waited = now - it.Arrived;
+    recordWait(waited, now);
+    recordSent(*linkClass, it.Info, it.Data.size() + HeaderBytes, now);
+    packets.push_back({it.Info, std::move(it.Data), waited});
+  }
+  return packets;
+}
+
+std::optional<Duration> LinkSchedulerImpl::waitTime(TimePoint now) const {
+  if (!isAnyWaiting(LinkClass::Max))
+    return std::nullopt;
+  const double tokens = tokensAt(now);
+  if (tokens > 0)
+    return Duration{0};
+  return Duration{static_cast<Duration::rep>(-tokens / BytesPerSecond * 1000) +
+                  1};
+}
+
+bool LinkSchedulerImpl::admits(const Endpoint &serviceAddress, TimePoint now) {
+  updateFlows(now);
+  // A flow is admitted if no other is expected to carry data, however slow the
+  // link.
+  if (!isBulkRoute(serviceAddress) || Expected == 0)
+    return true;
+  const double leftOver =
+      std::max(BytesPerSecond - static_cast<double>(OtherBytes.sum(now)),
+               BytesPerSecond * MinBulkShare);
+  // The queue is larger if flows carry more than the average, or opened before
+  // the average of their route was known.
+  const double expected = static_cast<double>(Expected) +
+                          Routes.find(serviceAddress)->second.AverageBytes;
+  const double work =
+      std::max(expected * LinkBytesPerDataByte,
+               static_cast<double>(queueOf(LinkClass::Bulk).linkBytes()));
+  if (work <= leftOver * toSeconds(MaxAdmittedWork))
+    return true;
+  ++Counters.Refused;
+  return false;
+}
+
+std::optional<LinkReport> LinkSchedulerImpl::takeReport(TimePoint now) {
+  const bool congested = isCongested(now);
+  if (congested == IsReportedCongested &&
+      (!congested || now - LastReportAt < ReportInterval))
+    return std::nullopt;
+  // A link that becomes congested again within the interval is reported later.
+  if (congested && !IsReportedCongested && LastReportAt != TimePoint{} &&
+      now - LastReportAt < ReportInterval)
+    return std::nullopt;
+  LinkReport report{congested, Counters.SentBytes, LongestWait};
+  for (std::size_t i = 0; i < LinkClassCount; ++i)
+    report.SentBytes[i] -= ReportedBytes[i];
+  IsReportedCongested = congested;
+  LastReportAt = now;
+  ReportedBytes = Counters.SentBytes;
+  LongestWait = Duration{0};
+  return report;
+}
+
+std::size_t LinkSchedulerImpl::queueLength() const {
+  std::size_t n = 0;
+  for (const FairQueue &it : Queues)
+    n += it.length();
+  return n;
+}
+
+} // namespace
+
+std::string_view nameOf(LinkClass linkClass) {
+  switch (linkClass) {
+  case LinkClass::Urgent:
+    return "urgent";
+  case LinkClass::Small:
+    return "small";
+  case LinkClass::Medium:
+    return "medium";
+  case LinkClass::Bulk:
+    return "bulk";
+  }
+  return "other";
+}
+
+std::unique_ptr<LinkScheduler> makeLinkScheduler(double mbitPerSecond) {
+  return std::make_unique<LinkSchedulerImpl>(mbitPerSecond);
+}
+
+} // namespace pistachio
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -7,6 +7,7 @@
 /// threads or clocks: callers pass the time in and send the datagrams.
 
 #include "Common/Common.h"
+#include "Relay/LinkScheduler.h"
 #include "Routing/Routing.h"
 #include "Wire/Wire.h"
 
