Send the datagrams of a relay balancer through the link scheduler

With the new setting link_mbit_per_second, all datagrams of the balancer to agents and callers pass a LinkScheduler, and a timer sends what waits. Without it nothing changes.

A first packet of a route with much data that the link has no room for is answered with a reset (reason link-full). This is limited to packets that their caller sends for the first time and that this balancer has not forwarded, as another flow may have run. While the link is congested, FlowRouter takes no agent out of rotation for missing answers.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -91,6 +91,12 @@
   FlowRouterOptions options;
   options.DataCentre = Settings.DataCentre;
   Router = makeFlowRouter(std::move(options));
+  if (Settings.LinkMbitPerSecond)
+    Link = std::make_unique<LinkSender>(
+        Context, *Settings.LinkMbitPerSecond, *Registry,
+        [this](const DatagramInfo &info, std::span<const std::byte> data) {
+          transmit(info, data);
+        });
 }
 
 RelayBalancer::~RelayBalancer() = default;
@@ -231,10 +237,29 @@
   const ServiceTablePtr table = Control->table();
   if (table->routeCount() == 0)
     Deferred.add({packet->Source, packet->Destination}, buf, arrived);
+  updateLinkState();
+  if (isLinkFull(*packet, *table))
+    return applyDecision(
+        {.Action = RelayAction::Reset, .Reason = RelayReason::LinkFull},
+        *packet, buf, arrived);
   applyDecision(Router->onCallerPacket(*packet, *table, steadyNow()), *packet,
                 buf, arrived);
 }
 
+void RelayBalancer::updateLinkState() {
+  if (Link)
+    Router->setLinkCongested(Link->isCongested(steadyNow()));
+}
+
+bool RelayBalancer::isLinkFull(const FlowPacket &packet,
+                               const ServiceTable &table) {
+  // Another balancer may have forwarded a packet that has been sent before, so
+  // that a refusal would be wrong.
+  return Link && packet.Opens && packet.Acknowledgement == 0 &&
+         table.findRoute(packet.Destination) != nullptr &&
+         !Router->mayHaveOpened(packet) && !Link->admits(packet.Destination);
+}
+
 void RelayBalancer::onAgentDatagram(std::span<const std::byte> buf,
                                     const Endpoint &from) {
   auto message = decodeData(buf);
@@ -330,9 +355,10 @@
   logDecision(decision, packet);
   const FlowEndpoints flow{packet.Source, packet.Destination};
   if (decision.Action == RelayAction::Reset) {
-    const Bytes reset = Format->makeReset(packet);
-    CallerSocket->send(reset, {packet.Source.Address, Settings.Listen.Port});
-    return;
+    return send({.Content = DatagramInfo::Kind::Reset,
+                 .To = {packet.Source.Address, Settings.Listen.Port},
+                 .Flow = flow},
+                Format->makeReset(packet));
   }
   if (decision.Action == RelayAction::Defer) {
     Deferred.add(flow, buf, arrived);
@@ -347,25 +373,48 @@
     return queryTableIfNeeded();
   }
   if (decision.Action == RelayAction::Forward)
-    sendToAgents(decision, buf);
+    sendToAgents(decision, packet, buf);
+}
+
+void RelayBalancer::send(const DatagramInfo &info,
+                         std::span<const std::byte> data) {
+  if (Link)
+    Link->send(info, data);
+  else
+    transmit(info, data);
+}
+
+void RelayBalancer::transmit(const DatagramInfo &info,
+                             std::span<const std::byte> data) {
+  (info.Content == DatagramInfo::Kind::Reset ? CallerSocket : AgentSocket)
+      ->send(data, info.To);
 }
 
 void RelayBalancer::sendToAgents(const RelayDecision &decision,
-                                 std::span<const std::byte> packet) {
+                                 const FlowPacket &packet,
+                                 std::span<const std::byte> buf) {
   SendBuffer.clear();
   const absl::Status encoded =
       encodeData(RelayedPacket{decision.Service, decision.Attempt,
                                decision.NeedsConfirmation,
                                decision.ColdMilliflowsPerSecond,
-                               Bytes(packet.begin(), packet.end())},
+                               Bytes(buf.begin(), buf.end())},
                  SendBuffer);
   if (!encoded.ok()) {
     logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
     return;
   }
-  AgentSocket->send(SendBuffer, decision.Agent);
-  for (const Endpoint &it : decision.OtherAgents)
-    AgentSocket->send(SendBuffer, it);
+  DatagramInfo info{.To = decision.Agent,
+                    .Flow = {packet.Source, packet.Destination},
+                    .Sequence = packet.Sequence,
+                    .DataBytes = packet.DataBytes,
+                    .Opens = packet.Opens,
+                    .Ends = packet.Ends || packet.Resets};
+  send(info, SendBuffer);
+  for (const Endpoint &it : decision.OtherAgents) {
+    info.To = it;
+    send(info, SendBuffer);
+  }
 }
 
 void RelayBalancer::sendQueries(const RelayDecision &decision,
@@ -391,7 +440,8 @@
       logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
       continue;
     }
-    AgentSocket->send(SendBuffer, it.Agent);
+    send({.Content = DatagramInfo::Kind::Query, .To = it.Agent, .Flow = {}},
+         SendBuffer);
     Instruments->Queries.add();
   }
 }
@@ -414,6 +464,7 @@
 }
 
 void RelayBalancer::pollSearches() {
+  updateLinkState();
   sendWaitingQueries();
   if (!Router->isSearching() && Queries.isEmpty()) {
     SearchTimer.reset();
@@ -431,6 +482,8 @@
     LastRenewal = now;
     Control->renewLease(now);
   }
+  if (Link)
+    Link->tick(now);
   Router->tick(now);
   KeptForSearch.expire(now);
   checkTableAge(now);
@@ -454,6 +507,8 @@
   ReadinessServer->stop();
   if (MetricsServer)
     MetricsServer->stop();
+  if (Link)
+    Link->stop();
   CallerSocket->stop();
   AgentSocket->stop();
   logEvent(LogLevel::Info, "balancer_stopped", "");
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ControlLink.h"
+#include "LinkSender.h"
 
 #include "Relay/Relay.h"
 #include "Settings/Settings.h"
@@ -32,8 +33,15 @@
   void onReturnedPacket(ReturnedPacket message, const Endpoint &from);
   void applyDecision(const RelayDecision &decision, const FlowPacket &packet,
                      std::span<const std::byte> buf, TimePoint arrived);
-  void sendToAgents(const RelayDecision &decision,
-                    std::span<const std::byte> packet);
+  void sendToAgents(const RelayDecision &decision, const FlowPacket &packet,
+                    std::span<const std::byte> buf);
+  /// Sends a datagram to an agent or, if it is a reset, to a caller: at once,
+  /// or when the link has room for it.
+  void send(const DatagramInfo &info, std::span<const std::byte> data);
+  void transmit(const DatagramInfo &info, std::span<const std::byte> data);
+  void updateLinkState();
+  /// Returns whether the link has no room for the flow that this packet opens.
+  bool isLinkFull(const FlowPacket &packet, const ServiceTable &table);
   void sendQueries(const RelayDecision &decision, const FlowEndpoints &flow);
   void sendWaitingQueries();
   /// Applies a decision of a search to the packet that was kept for it.
@@ -63,6 +71,8 @@
   QueryBatcher Queries;
   std::unique_ptr<MetricsRegistry> Registry;
   std::unique_ptr<Metrics> Instruments;
+  /// Set if the settings contain the rate of the link.
+  std::unique_ptr<LinkSender> Link;
   std::unique_ptr<UdpSocket> CallerSocket;
   std::unique_ptr<UdpSocket> AgentSocket;
   std::unique_ptr<HttpServer> ReadinessServer;
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -176,6 +176,10 @@
   std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                          TimePoint now) override;
   bool isSearching() const override;
+  bool mayHaveOpened(const FlowPacket &firstPacket) const override;
+  void setLinkCongested(bool congested) override {
+    IsLinkCongested = congested;
+  }
   bool needsConfirmedTable() const override;
   void confirmTable(TimePoint askedAt, Revision committed) override;
   void eraseFoundFlows(std::vector<FlowEndpoints> &flows) const override;
@@ -254,6 +258,7 @@
   std::optional<TimePoint> ConfirmedAt;
   Revision ConfirmedRevision;
   TimePoint LastSweep{};
+  bool IsLinkCongested = false;
 };
 
 RelayDecision FlowRouterImpl::forwardDecision(const FlowEntry &entry,
@@ -285,6 +290,8 @@
 }
 
 void FlowRouterImpl::recordTimeout(const Endpoint &agent, TimePoint now) {
+  if (IsLinkCongested)
+    return;
   Agents[agent].SilentUntil = now + Options.UnresponsivePenalty;
 }
 
@@ -692,6 +699,17 @@
       search->second.onQuerySent(agent, now);
 }
 
+bool FlowRouterImpl::mayHaveOpened(const FlowPacket &firstPacket) const {
+  const auto it = Flows.find({firstPacket.Source, firstPacket.Destination});
+  if (it == Flows.end())
+    return false;
+  const FlowEntry &entry = it->second;
+  if (!entry.OpeningSequence)
+    return entry.Current.Agent.Port != 0;
+  return entry.OpeningSequence == firstPacket.Sequence &&
+         (entry.ForwardedAt != TimePoint{} || entry.Current.Agent.Port != 0);
+}
+
 bool FlowRouterImpl::isSearching() const {
   return std::ranges::any_of(
       Searches, [](const auto &it) { return !it.second.isFinished(); });
@@ -841,6 +859,8 @@
     return "awaits-table";
   case RelayReason::Unconfirmed:
     return "unconfirmed";
+  case RelayReason::LinkFull:
+    return "link-full";
   }
   return "other";
 }
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -39,6 +39,7 @@
   /// not accept it.
   bool Returned = false;
   std::uint32_t Sequence = 0;
+  /// In a first packet: how often the caller has sent it before.
   std::uint32_t Acknowledgement = 0;
   std::uint16_t DataBytes = 0;
   /// Set by the agent before it delivers the packet. A returned packet still
@@ -107,7 +108,10 @@
   AwaitsTable,
   /// Control has not confirmed the table in time.
   Unconfirmed,
-  Max = Unconfirmed
+  /// The link of the balancer cannot carry the data of another new flow in
+  /// time. The first packet has not been forwarded.
+  LinkFull,
+  Max = LinkFull
 };
 
 std::string_view nameOf(RelayReason reason);
@@ -240,6 +244,12 @@
   virtual std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                                  TimePoint now) = 0;
   virtual bool isSearching() const = 0;
+  /// Returns whether an agent may have got this first packet, or holds its
+  /// flow. Such a flow may have opened.
+  virtual bool mayHaveOpened(const FlowPacket &firstPacket) const = 0;
+  /// While the balancer's own link is congested, the lack of an answer says
+  /// nothing about an agent, so that no agent is put aside for it.
+  virtual void setLinkCongested(bool congested) = 0;
   /// Returns whether a decision waits for confirmTable().
   virtual bool needsConfirmedTable() const = 0;
   /// Control has confirmed that no revision after \p committed had been
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -226,6 +226,19 @@
     value = *number;
   }
 
+  /// Optional key: returns nullopt if it is absent.
+  std::optional<double> positiveNumber(std::string_view key, double max) {
+    const toml::node *node = find(key);
+    if (node == nullptr)
+      return std::nullopt;
+    const auto number = node->value<double>();
+    if (number && *number > 0 && *number <= max)
+      return number;
+    fail(key, concat("the value must be a number above 0 and at most ",
+                     std::to_string(static_cast<std::uint64_t>(max))));
+    return std::nullopt;
+  }
+
   /// Optional key: returns false if it is absent.
   bool flag(std::string_view key) {
     const toml::node *node = find(key);
@@ -502,6 +515,7 @@
 std::optional<BalancerSettings> loadBalancerSettings(const std::string &path,
                                                      Findings &findings) {
   constexpr std::uint32_t MaxWorkers = 64;
+  constexpr double MaxLinkMbitPerSecond = 100'000;
   return load<BalancerSettings>(
       path, findings, [](TableReader &reader, BalancerSettings &settings) {
         settings.Name = reader.hostName("name");
@@ -519,6 +533,8 @@
           settings.Control = reader.seeds(
               static_cast<std::uint16_t>(port + PortOffset::ControlNodes));
           settings.Ready = reader.endpoint("ready", EndpointWildcard::None);
+          settings.LinkMbitPerSecond = reader.positiveNumber(
+              "link_mbit_per_second", MaxLinkMbitPerSecond);
         } else {
           settings.Control = reader.endpoints("control");
         }
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -47,6 +47,9 @@
   Endpoint InternalListen;
   /// Mode Relay: HTTP endpoint of the readiness check of the network fabric.
   Endpoint Ready;
+  /// Mode Relay: rate of the link of the balancer's machine, see
+  /// LinkScheduler. Not set if datagrams are sent without a schedule.
+  std::optional<double> LinkMbitPerSecond;
   /// Endpoint that receives datagrams from the network fabric and, except in
   /// mode Relay, from other processes.
   Endpoint Listen;
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -357,6 +357,33 @@
     EXPECT_NE(routeFromCaller(firstPacket(caller)).Agent, first.Agent);
 }
 
+// Guards against putting agents aside because the link of the balancer itself
+// is congested.
+TEST_F(FlowRouterTest, CongestedLinkPutsNoAgentAside) {
+  Router->setLinkCongested(true);
+  const Endpoint first = routeFromCaller(firstPacket(1)).Agent;
+  Now += AnswerTimeout;
+  routeFromCaller(firstPacket(1));
+  std::set<Endpoint> agents;
+  for (std::uint16_t caller = 2; caller < 100; ++caller)
+    agents.insert(routeFromCaller(firstPacket(caller)).Agent);
+  EXPECT_TRUE(agents.contains(first));
+}
+
+// Guards against refusing a flow that may have opened, for which "not run"
+// would be wrong.
+TEST_F(FlowRouterTest, KnowsWhichFlowsMayHaveOpened) {
+  EXPECT_FALSE(Router->mayHaveOpened(firstPacket(1)));
+  const RelayDecision placed = routeFromCaller(firstPacket(1));
+  EXPECT_TRUE(Router->mayHaveOpened(firstPacket(1)));
+  // Another connection with the same endpoints.
+  EXPECT_FALSE(Router->mayHaveOpened(firstPacket(1, RouteAddress, 7)));
+  returnPacket(firstPacket(1), placed, ReturnReason::Declined, 20);
+  EXPECT_TRUE(Router->mayHaveOpened(firstPacket(1)));
+  confirmHolder(2, agentEndpoint(1));
+  EXPECT_TRUE(Router->mayHaveOpened(firstPacket(2)));
+}
+
 // Guards against forwarding to the wrong one of two upstreams that both
 // accepted a copy of the first packet. The caller's acknowledgement number
 // identifies the one it uses.
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -266,6 +266,19 @@
      "14:10: seeds: '10.0.0.2' is not an IPv4 endpoint"},
     {"SlackNegative", RelayAgent, "cold_slack = 5", "cold_slack = -5",
      "12:14: cold_slack: the value must be a number from 0"},
+    {"LinkRate", RelayBalancer, "", "link_mbit_per_second = 2\n", ""},
+    {"LinkRateFraction", RelayBalancer, "", "link_mbit_per_second = 0.5\n", ""},
+    {"LinkRateZero", RelayBalancer, "", "link_mbit_per_second = 0\n",
+     "8:24: link_mbit_per_second: the value must be a number above 0 and at "
+     "most 100000"},
+    {"LinkRateTooHigh", RelayBalancer, "", "link_mbit_per_second = 100001.0\n",
+     "8:24: link_mbit_per_second: the value must be a number above 0"},
+    {"LinkRateIsText", RelayBalancer, "", "link_mbit_per_second = \"2\"\n",
+     "8:24: link_mbit_per_second: the value must be a number above 0"},
+    {"LinkRateNotANumber", RelayBalancer, "", "link_mbit_per_second = nan\n",
+     "8:24: link_mbit_per_second: the value must be a number above 0"},
+    {"LinkRateInModeRequests", Balancer, "", "link_mbit_per_second = 2\n",
+     "6:1: unknown key 'link_mbit_per_second'"},
     {"FoundGroupIsText", ControlWithSeeds, "true", "\"yes\"",
      "7:15: found_group: the value must be true or false"},
     {"DataCentreName", ControlWithSeeds, "dc-b", "DC b",
@@ -306,6 +319,7 @@
   const auto control = loadControlSettings(write(ControlWithSeeds), findings);
   ASSERT_TRUE(balancer && agent && control) << findings.format();
   EXPECT_EQ(toString(balancer->InternalListen), "10.0.0.1:7000");
+  EXPECT_FALSE(balancer->LinkMbitPerSecond);
   EXPECT_LE(control->LeaseMs, 800U);
   EXPECT_EQ(balancer->Control[0].Port, control->Nodes.Port);
   EXPECT_EQ(agent->Control[0].Port, control->Nodes.Port);
