Bound the cost of the link scheduler with many flows

Beyond 65,536 flows each new one erased the first entry of the hash table, and finding it took 10 us. The flows are now forgotten in the order in which they were added.

--- a/Source/Benchmarks/PacketBench.cpp
+++ b/Source/Benchmarks/PacketBench.cpp
@@ -1,6 +1,7 @@
 #include "TargetSite.h"
 
 #include "Placement/Placement.h"
+#include "Relay/LinkScheduler.h"
 #include "Routing/Routing.h"
 
 #include <benchmark/benchmark.h>
@@ -229,5 +230,33 @@
 }
 BENCHMARK(establishedFlow)->Arg(10000)->Arg(100000);
 
+/// Measures one packet of a balancer with a link scheduler, at 100,000 packets
+/// per second. The arguments are the number of flows, of which the scheduler
+/// remembers 65,536, and the rate of the link in Mbit/s: 100 is a third of what
+/// arrives.
+void scheduledPacket(benchmark::State &state) {
+  constexpr std::int64_t PacketsPerMs = 100;
+  const auto flows = static_cast<std::uint64_t>(state.range(0));
+  const auto link = makeLinkScheduler(static_cast<double>(state.range(1)));
+  const Bytes data(350);
+  std::uint64_t next = Seed;
+  std::int64_t n = 0;
+  std::size_t sent = 0;
+  DatagramInfo info{.To = {1, 1}, .Flow = {{}, {2, 2}}, .DataBytes = 300};
+  for (auto it : state) {
+    next = mix64(next + 1);
+    info.Flow.Caller = {static_cast<std::uint32_t>(next % flows), 1};
+    info.Sequence = static_cast<std::uint32_t>(++n) * 300;
+    const TimePoint now = StartTime + Duration(n / PacketsPerMs);
+    sent += link->add(info, data, now) ? 1 : 0;
+    if (n % PacketsPerMs == 0)
+      sent += link->take(now).size();
+  }
+  state.counters["sent"] =
+      static_cast<double>(sent) / static_cast<double>(state.iterations());
+}
+BENCHMARK(scheduledPacket)
+    ->ArgsProduct({{1000, 60'000, 200'000}, {100, 100'000}});
+
 } // namespace
 } // namespace pistachio
--- a/Source/Core/Relay/LinkScheduler.cpp
+++ b/Source/Core/Relay/LinkScheduler.cpp
@@ -257,6 +257,8 @@
   FlowState &flowOf(const DatagramInfo &info, TimePoint now);
   /// Includes the data of an ended flow in the average of its route.
   void recordEnd(const FlowEndpoints &flow, FlowState &state);
+  /// Forgets the flow that was added MaxFlows flows ago.
+  void makeRoomForFlow(const FlowEndpoints &flow);
   /// Sets FlowState::Expected from the average of the route.
   void estimate(const FlowEndpoints &flow, FlowState &state);
   void setExpected(FlowState &state, std::uint32_t bytes);
@@ -291,6 +293,9 @@
   /// Bytes that bulk may send before the other classes.
   double BulkCredit = 0;
   absl::flat_hash_map<FlowEndpoints, FlowState, std::hash<FlowEndpoints>> Flows;
+  /// The flows that were added last, including some that have been removed
+  /// again. Finding any flow in a full hash table took 10 us.
+  std::deque<FlowEndpoints> LatestFlows;
   absl::flat_hash_map<Endpoint, RouteState, std::hash<Endpoint>> Routes;
   /// Sum of FlowState::Expected.
   std::uint64_t Expected = 0;
@@ -372,10 +377,8 @@
   const bool isKnown = it != Flows.end();
   if (isKnown && (!info.Opens || it->second.OpeningSequence == info.Sequence))
     return it->second;
-  if (!isKnown && Flows.size() >= MaxFlows) {
-    setExpected(Flows.begin()->second, 0);
-    Flows.erase(Flows.begin());
-  }
+  if (!isKnown)
+    makeRoomForFlow(info.Flow);
   FlowState &flow = Flows[info.Flow];
   setExpected(flow, 0);
   flow = {};
@@ -388,6 +391,17 @@
   return flow;
 }
 
+void LinkSchedulerImpl::makeRoomForFlow(const FlowEndpoints &flow) {
+  if (LatestFlows.size() >= MaxFlows) {
+    if (const auto it = Flows.find(LatestFlows.front()); it != Flows.end()) {
+      setExpected(it->second, 0);
+      Flows.erase(it);
+    }
+    LatestFlows.pop_front();
+  }
+  LatestFlows.push_back(flow);
+}
+
 void LinkSchedulerImpl::estimate(const FlowEndpoints &flow, FlowState &state) {
   const auto route = Routes.find(flow.Service);
   const bool hasData = state.OpeningSequence || state.Carried > 0;
