Keep requests on long flows small for the link scheduler

A flow that stays open and sends a request of 1 kB each second counted as bulk after 8 s, and the data that such flows were expected to carry could refuse others although the link was idle. What a flow has carried now decreases by 1 byte per ms for its class and, unless the flow has been bulk, for the average of its route. Flows are refused only while the link is congested.

A copy of a waiting packet is also found in another class: after a restart one copy was sent because its flow had become bulk since the original was queued.

--- a/Source/Core/Relay/LinkScheduler.cpp
+++ b/Source/Core/Relay/LinkScheduler.cpp
@@ -24,6 +24,10 @@
 /// Flows that have carried more than this are no longer small: a request of one
 /// packet goes before the first packets of many uploads.
 constexpr std::uint32_t SmallBytes = 2 * 1024;
+/// What a flow has carried decreases by this much, so that small requests on a
+/// flow that stays open do not add up to bulk. Uploads on a congested link are
+/// faster.
+constexpr std::uint32_t DecayBytesPerMs = 1;
 /// Part of the rate that bulk gets while other classes fill the link.
 constexpr double MinBulkShare = 0.1;
 /// Bulk packets that wait longer are dropped, because their sender has
@@ -208,6 +212,9 @@
 struct FlowState {
   /// Data that the flow has carried, without retransmissions.
   std::uint32_t Carried = 0;
+  /// The same, less DecayBytesPerMs. It decides the class.
+  std::uint32_t CarriedLately = 0;
+  bool HasBeenBulk = false;
   /// Sequence number after the last byte of data.
   std::uint32_t Furthest = 0;
   std::optional<std::uint32_t> OpeningSequence;
@@ -333,7 +340,11 @@
   }
   FairQueue &queue = queueOf(linkClass);
   const std::uint64_t key = keyOf(info, data);
-  if (info.Content != DatagramInfo::Kind::Query && queue.contains(key)) {
+  // A copy may belong to a lower class, because the flow has carried more
+  // since.
+  if (info.Content != DatagramInfo::Kind::Query &&
+      std::ranges::any_of(
+          Queues, [&](const FairQueue &it) { return it.contains(key); })) {
     ++Counters.Copies;
     return false;
   }
@@ -350,14 +361,22 @@
   if (info.Content != DatagramInfo::Kind::Relayed)
     return LinkClass::Urgent;
   FlowState &flow = flowOf(info, now);
+  const auto decay =
+      static_cast<std::uint64_t>((now - flow.LastPacketAt).count()) *
+      DecayBytesPerMs;
+  flow.CarriedLately -= static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(flow.CarriedLately, decay));
   flow.LastPacketAt = now;
   const std::uint32_t end = info.Sequence + info.DataBytes;
   if (const auto ahead = static_cast<std::int32_t>(end - flow.Furthest);
       ahead > 0) {
-    flow.Carried += std::min<std::uint32_t>(ahead, info.DataBytes);
+    const auto bytes = std::min<std::uint32_t>(ahead, info.DataBytes);
+    flow.Carried += bytes;
+    flow.CarriedLately += bytes;
     flow.Furthest = end;
   }
-  if (flow.Carried > BulkBytes && !flow.HasEnded) {
+  if (flow.CarriedLately > BulkBytes && !flow.HasEnded) {
+    flow.HasBeenBulk = true;
     RouteState &route = routeOf(info.Flow.Service);
     if (!route.HasEndedFlow)
       route.AverageBytes =
@@ -367,9 +386,9 @@
     recordEnd(info.Flow, flow);
   if (info.Opens)
     return LinkClass::Urgent;
-  return flow.Carried <= SmallBytes  ? LinkClass::Small
-         : flow.Carried <= BulkBytes ? LinkClass::Medium
-                                     : LinkClass::Bulk;
+  return flow.CarriedLately <= SmallBytes  ? LinkClass::Small
+         : flow.CarriedLately <= BulkBytes ? LinkClass::Medium
+                                           : LinkClass::Bulk;
 }
 
 FlowState &LinkSchedulerImpl::flowOf(const DatagramInfo &info, TimePoint now) {
@@ -431,9 +450,11 @@
   // its first data, it knows only a part.
   if (!state.OpeningSequence || state.Carried == 0)
     return;
+  const std::uint32_t data =
+      state.HasBeenBulk ? state.Carried : state.CarriedLately;
   RouteState &route = routeOf(flow.Service);
   const double weight = route.HasEndedFlow ? AverageWeight : 1;
-  route.AverageBytes += weight * (state.Carried - route.AverageBytes);
+  route.AverageBytes += weight * (data - route.AverageBytes);
   route.HasEndedFlow = true;
 }
 
@@ -552,9 +573,10 @@
 
 bool LinkSchedulerImpl::admits(const Endpoint &serviceAddress, TimePoint now) {
   updateFlows(now);
-  // A flow is admitted if no other is expected to carry data, however slow the
-  // link.
-  if (!isBulkRoute(serviceAddress) || Expected == 0)
+  // Without congestion the flows are slower than the link, whatever they are
+  // expected to carry. A flow is also admitted if no other is expected to carry
+  // data, however slow the link.
+  if (!isBulkRoute(serviceAddress) || !isCongested(now) || Expected == 0)
     return true;
   const double leftOver =
       std::max(BytesPerSecond - static_cast<double>(OtherBytes.sum(now)),
--- a/Source/UnitTests/Relay/LinkSchedulerTest.cpp
+++ b/Source/UnitTests/Relay/LinkSchedulerTest.cpp
@@ -363,11 +363,16 @@
   add(1, 0, 0, true, OtherRoute);
   carry(1, 100, OtherRoute);
   Now += Duration(2500);
-  // Each flow of 120 kB takes the link for half a second.
-  for (std::uint32_t caller = 2; caller < 5; ++caller) {
+  // Each flow of about 120 kB takes the link for half a second, but they have
+  // not sent yet.
+  for (std::uint32_t caller = 2; caller < 6; ++caller) {
     EXPECT_TRUE(Link->admits(OtherRoute, Now)) << caller;
     add(caller, 0, 0, true, OtherRoute);
   }
+  for (std::uint32_t i = 0; i < 120; ++i, Now += Duration(1)) {
+    add(2, i * MaxDataBytes, MaxDataBytes, false, OtherRoute);
+    Link->take(Now);
+  }
   EXPECT_FALSE(Link->admits(OtherRoute, Now));
   EXPECT_TRUE(Link->admits(RouteAddress, Now));
   EXPECT_EQ(Link->counters().Refused, 1U);
@@ -375,6 +380,16 @@
   EXPECT_TRUE(Link->admits(OtherRoute, Now));
 }
 
+// Guards against small requests that become bulk because they use one flow for
+// a long time.
+TEST_F(LinkSchedulerTest, RequestsOnALongFlowStaySmall) {
+  add(1, 0, 0, true);
+  for (std::uint32_t i = 0; i < 60; ++i, Now += Duration(1000))
+    EXPECT_TRUE(add(1, i * 1000, 1000));
+  EXPECT_EQ(Link->counters().SentBytes[std::size_t(LinkClass::Bulk)], 0U);
+  EXPECT_EQ(Link->counters().SentBytes[std::size_t(LinkClass::Medium)], 0U);
+}
+
 // Guards against a congestion that is reported for each packet, or never ends.
 TEST_F(LinkSchedulerTest, ReportsTheBeginAndTheEndOfCongestion) {
   carry(1, 8);
