Offer a repeated first packet to another agent on a congested link

While the link of a balancer is congested, a missing answer takes no agent out of rotation. An agent that had really failed could then be chosen again for the same flow, as often as its caller repeated the first packet. It is now left out for 1 ms, which is the choice at hand; other flows are not affected.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -290,9 +290,13 @@
 }
 
 void FlowRouterImpl::recordTimeout(const Endpoint &agent, TimePoint now) {
-  if (IsLinkCongested)
-    return;
-  Agents[agent].SilentUntil = now + Options.UnresponsivePenalty;
+  // On a congested link only the flow itself goes to another agent, at this
+  // moment: the agent may have failed all the same.
+  constexpr Duration PenaltyOfOneChoice{1};
+  TimePoint &silentUntil = Agents[agent].SilentUntil;
+  silentUntil = std::max(silentUntil,
+                         now + (IsLinkCongested ? PenaltyOfOneChoice
+                                                : Options.UnresponsivePenalty));
 }
 
 RelayDecision FlowRouterImpl::removeFlow(const FlowEndpoints &flow,
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -248,7 +248,8 @@
   /// flow. Such a flow may have opened.
   virtual bool mayHaveOpened(const FlowPacket &firstPacket) const = 0;
   /// While the balancer's own link is congested, the lack of an answer says
-  /// nothing about an agent, so that no agent is put aside for it.
+  /// nothing about an agent, so that no agent is put aside for it. The flow
+  /// itself is offered to another one.
   virtual void setLinkCongested(bool congested) = 0;
   /// Returns whether a decision waits for confirmTable().
   virtual bool needsConfirmedTable() const = 0;
--- a/Source/UnitTests/Relay/FlowRouterTest.cpp
+++ b/Source/UnitTests/Relay/FlowRouterTest.cpp
@@ -358,12 +358,13 @@
 }
 
 // Guards against putting agents aside because the link of the balancer itself
-// is congested.
+// is congested, and against offering a flow only to an agent that has failed.
 TEST_F(FlowRouterTest, CongestedLinkPutsNoAgentAside) {
   Router->setLinkCongested(true);
   const Endpoint first = routeFromCaller(firstPacket(1)).Agent;
   Now += AnswerTimeout;
-  routeFromCaller(firstPacket(1));
+  EXPECT_NE(routeFromCaller(firstPacket(1)).Agent, first);
+  Now += Duration(1);
   std::set<Endpoint> agents;
   for (std::uint16_t caller = 2; caller < 100; ++caller)
     agents.insert(routeFromCaller(firstPacket(caller)).Agent);
