Limit the attempts that a client has at one server

With attempts that go on for 3 s, a control instance that is cut off from 64 members would use 15 sockets for each of them, near the usual limit of 1024 descriptors of a process. At most 4 attempts at one server go on: the oldest, which is the next to succeed on a slow link, and the latest ones.

--- a/Source/Core/Runtime/ConnectAttempts.cpp
+++ b/Source/Core/Runtime/ConnectAttempts.cpp
@@ -18,6 +18,10 @@
 /// the system's first retransmission, after 1 s.
 constexpr Duration ConnectTimeout{3000};
 
+/// Limits the sockets of a control instance that is cut off from all members of
+/// a large group: without the limit it would use 15 for each of them.
+constexpr std::size_t MaxAttemptsPerServer = 4;
+
 constexpr Duration InitialBackOff{50};
 /// Upper limit of the back-off for the first InitialAttempts attempts. It is
 /// low so that nodes that start at the same time as the control instances
@@ -133,6 +137,19 @@
   });
   std::vector<ConnectAttempt> expired(Outstanding.begin(), end);
   Outstanding.erase(Outstanding.begin(), end);
+  if (Outstanding.empty())
+    return expired;
+  // The oldest attempt stays, because it is the next to succeed on a slow link,
+  // and so do the latest ones, because the packet of an older one may be lost.
+  const Endpoint latest = Outstanding.back().Server;
+  const auto isAtLatest = [&](const auto &it) { return it.Server == latest; };
+  if (static_cast<std::size_t>(std::ranges::count_if(Outstanding, isAtLatest)) <
+      MaxAttemptsPerServer)
+    return expired;
+  const auto oldest = std::ranges::find_if(Outstanding, isAtLatest);
+  const auto second = std::find_if(oldest + 1, Outstanding.end(), isAtLatest);
+  expired.push_back(*second);
+  Outstanding.erase(second);
   return expired;
 }
 
--- a/Source/Core/Runtime/ConnectAttempts.h
+++ b/Source/Core/Runtime/ConnectAttempts.h
@@ -33,7 +33,8 @@
 
   /// Returns the attempt that is due, if any.
   std::optional<ConnectAttempt> begin(TimePoint now);
-  /// Removes and returns the attempts that have taken too long.
+  /// Removes and returns the attempts to give up: those that have taken too
+  /// long, and one at a server with too many.
   std::vector<ConnectAttempt> takeExpired(TimePoint now);
   void onFailed(ConnectAttemptId attempt, TimePoint now);
   /// A connection was established. All other attempts are obsolete.
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -116,7 +116,7 @@
           found->second->close(ec);
           Sockets.erase(found);
         }
-        reportFailure(it, "timed out", now);
+        reportFailure(it, "no reply", now);
       }
       if (const auto attempt = Attempts.begin(now))
         connect(*attempt);
--- a/Source/UnitTests/Runtime/ConnectAttemptsTest.cpp
+++ b/Source/UnitTests/Runtime/ConnectAttemptsTest.cpp
@@ -43,7 +43,9 @@
 TEST_P(ConnectAttemptsTest, ConnectsToTheReachableServer) {
   const ConnectCase &row = GetParam();
   constexpr std::uint32_t Seeds = 20;
-  constexpr std::size_t MaxOutstanding = 16;
+  // Guards against a client that uses up the sockets of its process.
+  constexpr std::size_t MaxOutstanding = 15;
+  constexpr std::ptrdiff_t MaxOutstandingPerServer = 4;
   for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
     ConnectAttempts attempts({}, seed);
     for (const auto &it : row.Advertised)
@@ -68,8 +70,13 @@
       }
       for (const ConnectAttempt &it : attempts.takeExpired(now))
         outstanding.erase(it.Id);
-      if (const auto begun = attempts.begin(now))
+      if (const auto begun = attempts.begin(now)) {
         outstanding.emplace(begun->Id, *begun);
+        EXPECT_LE(
+            std::ranges::count(outstanding, begun->Server,
+                               [](const auto &it) { return it.second.Server; }),
+            MaxOutstandingPerServer);
+      }
       ASSERT_TRUE(attempts.nextEvent());
       EXPECT_GT(*attempts.nextEvent(), now);
       EXPECT_LE(outstanding.size(), MaxOutstanding);
