Try servers of earlier settings, and former ones without holding up others

Former servers were tried one after the other once all current ones had failed. Three faults of this, and their causes: - Seeds that a reload of the settings replaced were forgotten, so the instance that a client has just left could be on no list any more. - 16 former servers without a reply held up the attempts at the current ones by 3 s. - Each received frame counted as success, so the former servers were never tried while an instance that is cut off answered and was left again, although all others on its list were gone.

Change: servers of earlier settings are kept as well, each round tries two former servers, and a connection begins a new round only if it lasted 3 s, longer than balancers and agents stay with an instance that is cut off.

Evidence: the rows ServerOfEarlierSettings and CurrentServerBesideManyFormerOnes of ReachableServerTest and InstanceThatIsLeftDoesNotBeginANewRound fail without it and pass with it.

--- a/Source/Core/Runtime/ConnectAttempts.cpp
+++ b/Source/Core/Runtime/ConnectAttempts.cpp
@@ -34,7 +34,14 @@
 /// long list that can be reached by a second for each of the others.
 constexpr Duration MaxBackOff{1000};
 
+/// A connection of this duration worked: balancers and agents leave a server
+/// that is cut off from its group earlier.
+constexpr Duration MinUsefulConnection{3000};
+
 constexpr std::size_t MaxFormerServers = 16;
+/// Former servers tried in each round. They are mostly gone, and 16 of them
+/// without a reply would hold up the other servers by 3 s.
+constexpr std::size_t FormerServersPerRound = 2;
 /// Number of servers whose latest attempt is remembered. If it were below the
 /// number of servers, the last ones of the list would never be tried.
 constexpr std::size_t MaxTriedServers =
@@ -58,26 +65,27 @@
       Random(randomSeed) {}
 
 void ConnectAttempts::setConfigured(std::vector<Endpoint> servers) {
-  Configured = std::move(servers);
+  remember(std::exchange(Configured, std::move(servers)));
 }
 
 void ConnectAttempts::setAdvertised(std::vector<Endpoint> servers) {
   std::vector<Endpoint> former = std::exchange(Advertised, std::move(servers));
   std::ranges::shuffle(Advertised, Random);
+  remember(std::move(former));
+}
+
+void ConnectAttempts::remember(std::vector<Endpoint> former) {
   appendMissing(former, Former);
-  std::erase_if(former,
-                [&](const Endpoint &it) { return contains(Advertised, it); });
+  std::erase_if(former, [&](const Endpoint &it) {
+    return contains(Advertised, it) || contains(Configured, it);
+  });
   former.resize(std::min(former.size(), MaxFormerServers));
   Former = std::move(former);
 }
 
-std::vector<Endpoint> ConnectAttempts::candidates() const {
+std::vector<Endpoint> ConnectAttempts::currentServers() const {
   std::vector<Endpoint> servers = Advertised;
   appendMissing(servers, Configured);
-  // An instance that is cut off, or has just been restarted, may advertise
-  // servers that are gone.
-  if (FailedAttempts >= servers.size())
-    appendMissing(servers, Former);
   return servers;
 }
 
@@ -108,15 +116,24 @@
 std::optional<ConnectAttempt> ConnectAttempts::begin(TimePoint now) {
   if (!NextAttemptAt || now < *NextAttemptAt)
     return std::nullopt;
-  const std::vector<Endpoint> servers = candidates();
-  if (servers.empty()) {
+  const std::vector<Endpoint> current = currentServers();
+  // An instance that is cut off, or has just been restarted, may advertise
+  // servers that are gone, and the settings may name such servers as well.
+  const std::size_t roundSize =
+      current.size() + std::min(Former.size(), FormerServersPerRound);
+  if (roundSize == 0) {
     NextAttemptAt = now + MaxBackOff;
     return std::nullopt;
   }
+  // The list may have become shorter.
+  if (RoundAttempts >= roundSize)
+    RoundAttempts = 0;
+  const Endpoint server =
+      takeNextServer(RoundAttempts < current.size() ? current : Former);
   if (RoundAttempts++ == 0)
     RoundBeganAt = now;
   ++FailedAttempts;
-  if (RoundAttempts < servers.size()) {
+  if (RoundAttempts < roundSize) {
     EarliestAttemptAt = now + jitter(InitialBackOff);
   } else {
     EarliestAttemptAt = RoundBeganAt + jitter(BackOff);
@@ -126,7 +143,7 @@
     RoundAttempts = 0;
   }
   NextAttemptAt = std::max(now + AttemptInterval, EarliestAttemptAt);
-  Outstanding.push_back({{++LastId.Value}, takeNextServer(servers), now});
+  Outstanding.push_back({{++LastId.Value}, server, now});
   return Outstanding.back();
 }
 
@@ -159,18 +176,24 @@
     NextAttemptAt = std::max(now, EarliestAttemptAt);
 }
 
-void ConnectAttempts::onOpen() {
+void ConnectAttempts::onOpen(TimePoint now) {
+  OpenedAt = now;
   NextAttemptAt.reset();
   Outstanding.clear();
 }
 
 void ConnectAttempts::onFrame() {
   BackOff = InitialBackOff;
-  FailedAttempts = RoundAttempts = 0;
+  FailedAttempts = 0;
   EarliestAttemptAt = TimePoint{};
 }
 
 void ConnectAttempts::onClose(TimePoint now) {
+  // After a shorter connection the round goes on. Otherwise an instance that is
+  // cut off, answers and is left again would keep the former servers from being
+  // tried.
+  if (now - OpenedAt >= MinUsefulConnection)
+    RoundAttempts = 0;
   NextAttemptAt = std::max(now + jitter(InitialBackOff), EarliestAttemptAt);
 }
 
--- a/Source/Core/Runtime/ConnectAttempts.h
+++ b/Source/Core/Runtime/ConnectAttempts.h
@@ -24,10 +24,11 @@
 public:
   ConnectAttempts(std::vector<Endpoint> configured, std::uint32_t randomSeed);
 
+  /// Servers of earlier lists, configured or advertised, are tried between two
+  /// rounds through the current ones.
   void setConfigured(std::vector<Endpoint> servers);
   /// Sets the servers that a server has advertised. They are tried in random
-  /// order and before the configured ones. Those of earlier lists are tried
-  /// once all others have failed.
+  /// order and before the configured ones.
   void setAdvertised(std::vector<Endpoint> servers);
   const std::vector<Endpoint> &advertised() const { return Advertised; }
 
@@ -38,7 +39,7 @@
   std::vector<ConnectAttempt> takeExpired(TimePoint now);
   void onFailed(ConnectAttemptId attempt, TimePoint now);
   /// A connection was established. All other attempts are obsolete.
-  void onOpen();
+  void onOpen(TimePoint now);
   /// Only a received frame resets the back-off. A server that accepts
   /// connections and closes them at once does not.
   void onFrame();
@@ -47,7 +48,8 @@
   std::optional<TimePoint> nextEvent() const;
 
 private:
-  std::vector<Endpoint> candidates() const;
+  void remember(std::vector<Endpoint> former);
+  std::vector<Endpoint> currentServers() const;
   Endpoint takeNextServer(const std::vector<Endpoint> &servers);
   Duration jitter(Duration limit);
 
@@ -62,9 +64,11 @@
   std::optional<TimePoint> NextAttemptAt{TimePoint{}};
   /// The next attempt begins no earlier, even if the latest one has failed.
   TimePoint EarliestAttemptAt{};
-  /// A round is one attempt at each server.
+  /// A round is one attempt at each current server and some former ones.
   TimePoint RoundBeganAt{};
   std::size_t RoundAttempts = 0;
+  /// Start of the latest connection.
+  TimePoint OpenedAt{};
   /// Attempts since the last received frame.
   std::size_t FailedAttempts = 0;
   Duration BackOff;
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -117,7 +117,7 @@
   /// ones. If the current server is not among them, the connection moves to one
   /// of them after a random delay of at most 2 s. It does so again only 10 s
   /// later, in case none of them can be reached. Servers of earlier lists are
-  /// tried after one attempt at each other server has failed.
+  /// tried between two rounds through the current ones.
   virtual void setAdvertisedServers(std::vector<Endpoint> servers) = 0;
   virtual void stop() = 0;
 };
--- a/Source/Core/Runtime/TcpClient.cpp
+++ b/Source/Core/Runtime/TcpClient.cpp
@@ -147,7 +147,7 @@
             }
             self->closeSockets();
             self->Timer.cancel();
-            self->Attempts.onOpen();
+            self->Attempts.onOpen(now);
             self->CurrentServer = attempt.Server;
             self->ConnectTime = now - attempt.BeganAt;
             self->open(std::move(*socket));
--- a/Source/UnitTests/Runtime/ConnectAttemptsTest.cpp
+++ b/Source/UnitTests/Runtime/ConnectAttemptsTest.cpp
@@ -34,20 +34,22 @@
   /// When an attempt at any other server fails.
   Duration Failure;
   Duration MaxDelay;
+  /// The settings named these servers before.
+  std::vector<Endpoint> FormerlyConfigured{};
 };
 
-class ConnectAttemptsTest : public testing::TestWithParam<ConnectCase> {};
+class ReachableServerTest : public testing::TestWithParam<ConnectCase> {};
 
 // Guards against the CONFIG incident of 6 December 2026: a balancer had no
 // connection to control for 25 s although several instances could be reached.
-TEST_P(ConnectAttemptsTest, ConnectsToTheReachableServer) {
+TEST_P(ReachableServerTest, IsConnected) {
   const ConnectCase &row = GetParam();
   constexpr std::uint32_t Seeds = 20;
   // Guards against a client that uses up the sockets of its process.
   constexpr std::size_t MaxOutstanding = 15;
   constexpr std::ptrdiff_t MaxOutstandingPerServer = 4;
   for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
-    ConnectAttempts attempts({}, seed);
+    ConnectAttempts attempts(row.FormerlyConfigured, seed);
     for (const auto &it : row.Advertised)
       attempts.setAdvertised(it);
     std::map<ConnectAttemptId, ConnectAttempt> outstanding;
@@ -85,8 +87,38 @@
   }
 }
 
+// Guards against a client that goes round the list of an instance that is cut
+// off: it answers and is left again, and all others on its list are gone.
+TEST(ConnectAttemptsTest, InstanceThatIsLeftDoesNotBeginANewRound) {
+  constexpr Duration TimeUntilLeft{1000};
+  constexpr Duration MaxDelay{5000};
+  ConnectAttempts attempts({}, 1);
+  attempts.setAdvertised(serversFrom(9, 10));
+  bool isOpen = false;
+  TimePoint openedAt{};
+  bool found = false;
+  for (TimePoint now{}; !found && now < TimePoint{MaxDelay};
+       now += Duration(5)) {
+    if (isOpen && now - openedAt >= TimeUntilLeft) {
+      isOpen = false;
+      attempts.onClose(now);
+    }
+    attempts.takeExpired(now);
+    const auto begun = attempts.begin(now);
+    found = begun && begun->Server == server(9) && now > TimePoint{};
+    if (begun && begun->Server == server(1)) {
+      attempts.onOpen(now);
+      attempts.onFrame();
+      isOpen = true;
+      openedAt = now;
+    }
+    attempts.setAdvertised(serversFrom(1, 4));
+  }
+  EXPECT_TRUE(found);
+}
+
 INSTANTIATE_TEST_SUITE_P(
-    Rows, ConnectAttemptsTest,
+    Rows, ReachableServerTest,
     testing::Values(
         // Guards against attempts that are given up before the reply has
         // passed a congested link, so that none of them ever succeeds.
@@ -133,7 +165,29 @@
                     Duration(0),
                     Duration(5),
                     Never,
-                    Duration(2000)},
+                    Duration(3000)},
+        // Guards against a connection to a seed that moves to an advertised
+        // server after the settings have been read again: if neither list
+        // works, the seed that did must not be forgotten.
+        ConnectCase{"ServerOfEarlierSettings",
+                    {serversFrom(4, 6)},
+                    serversFrom(6, 8),
+                    1,
+                    Duration(0),
+                    Duration(5),
+                    Never,
+                    Duration(2000),
+                    serversFrom(1, 3)},
+        // Guards against many servers that are gone holding up the attempts
+        // at the current ones.
+        ConnectCase{"CurrentServerBesideManyFormerOnes",
+                    {serversFrom(10, 26), serversFrom(1, 4)},
+                    {},
+                    3,
+                    Duration(20000),
+                    Duration(5),
+                    Never,
+                    Duration(1500)},
         // Guards against a list that is longer than the memory of attempts:
         // its last servers were never tried.
         ConnectCase{"LastOfALongList",
