Add a packet that visits agents in turn until one holds its flow

A balancer that searches for the holder of a flow sends its packet to up to eight agents at a time if agents have restarted, and each agent returns it over the balancer's link. ChainedPacket names further agents instead: an agent that does not hold the flow tells the balancer in a FlowsNotHeld and passes the packet on itself. Agents remember for 10 s, for at most 4096 flows, that their upstream returned a packet of a flow, and answer for it without asking again.

A first packet of a flow that the agent knows only from a later packet now records its sequence number, so that an earlier packet that the upstream returns afterwards is not taken as proof about the opened flow. No balancer sends the message yet.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -177,6 +177,11 @@
       Gate->onFlowQuery(*query, from, steadyNow(), output);
       return executeOutput(output);
     }
+  if (message.ok())
+    if (auto *chained = std::get_if<ChainedPacket>(&*message)) {
+      Gate->onChainedPacket(std::move(*chained), from, steadyNow(), output);
+      return executeOutput(output);
+    }
   auto *relayed =
       message.ok() ? std::get_if<RelayedPacket>(&*message) : nullptr;
   if (relayed == nullptr) {
@@ -223,6 +228,11 @@
                 {"balancer", toString(it.To)},
                 {"busy", std::to_string(flowHeld->Load.BusyFlows)},
                 {"flows", std::to_string(flowHeld->Load.Flows)}});
+    if (const auto *chained = std::get_if<ChainedPacket>(&message))
+      logEvent(LogLevel::Info, "packet_passed_on", "",
+               {{"agent", toString(it.To)},
+                {"balancer", toString(chained->OriginBalancer)},
+                {"remaining", std::to_string(chained->NextAgents.size())}});
     if (const auto *returned = std::get_if<ReturnedPacket>(&message)) {
       const auto packet = Format->decode(returned->Packet);
       logEvent(
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -390,8 +390,8 @@
   std::uint64_t Delivered = 0;
   /// Packets of the upstream sent to callers.
   std::uint64_t Answered = 0;
-  /// Packets returned to a balancer because the upstream does not hold the
-  /// flow.
+  /// Packets returned to a balancer, or passed on in a search, because the
+  /// upstream does not hold the flow.
   std::uint64_t NotHeld = 0;
   /// First packets returned to a balancer because the upstream does not accept
   /// the flow.
@@ -429,6 +429,10 @@
   /// Handles a packet from a balancer.
   virtual void onRelayedPacket(RelayedPacket message, const Endpoint &balancer,
                                TimePoint now, RelayOutput &out) = 0;
+  /// Handles a packet of a search that visits several agents. \p sender is the
+  /// balancer or the agent before this one.
+  virtual void onChainedPacket(ChainedPacket message, const Endpoint &sender,
+                               TimePoint now, RelayOutput &out) = 0;
   /// Answers whether the upstream holds flows, without asking the upstream.
   virtual void onFlowQuery(const FlowQuery &message, const Endpoint &balancer,
                            TimePoint now, RelayOutput &out) = 0;
--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -1,3 +1,5 @@
+#include "ReturnedFlows.h"
+
 #include "Relay/Relay.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -122,6 +124,9 @@
   std::uint32_t Tag = 0;
   Endpoint Balancer;
   std::uint8_t Attempt = 0;
+  /// The packet arrived in a ChainedPacket and goes on to NextAgents.
+  bool IsChained = false;
+  std::vector<Endpoint> NextAgents{};
 };
 
 template <typename Message>
@@ -140,6 +145,8 @@
 
   void onRelayedPacket(RelayedPacket message, const Endpoint &balancer,
                        TimePoint now, RelayOutput &out) override;
+  void onChainedPacket(ChainedPacket message, const Endpoint &sender,
+                       TimePoint now, RelayOutput &out) override;
   void onFlowQuery(const FlowQuery &message, const Endpoint &balancer,
                    TimePoint now, RelayOutput &out) override;
   void onUpstreamPacket(std::span<const std::byte> buf, TimePoint now,
@@ -173,13 +180,26 @@
   /// not reported yet.
   bool mayBeCold(TimePoint now) const { return !HasReport || now < ColdUntil; }
   bool isWithinColdRateLimit(TimePoint now);
-  void deliver(RelayedPacket &message, const Endpoint &balancer,
-               RelayOutput &out);
+  /// Returns whether the packet belongs to another connection with the same
+  /// endpoints than the one that the upstream holds.
+  static bool isOtherConnection(const Flow &flow, const FlowPacket &packet);
+  /// Records a packet that is about to be delivered and does not open the flow.
+  void recordCallerPacket(const FlowEndpoints &endpoints,
+                          const FlowPacket &packet, const Endpoint &balancer,
+                          bool wantsFlowHeld, TimePoint now, RelayOutput &out);
+  /// Gives a packet to the upstream. \p origin says what becomes of the packet
+  /// if the upstream returns it.
+  void deliver(Bytes packet, SentPacket origin, RelayOutput &out);
+  /// Tells the balancer that the upstream does not hold the flow, and sends the
+  /// packet to the next agent of the chain, if there is one.
+  void passOn(const FlowEndpoints &endpoints, ChainedPacket message,
+              RelayOutput &out);
   void returnToBalancer(ReturnReason reason, std::uint8_t attempt,
                         Duration retryAfter, Bytes packet,
                         const Endpoint &balancer, RelayOutput &out);
   void onReturnedByUpstream(const FlowPacket &packet,
-                            std::span<const std::byte> buf, RelayOutput &out);
+                            std::span<const std::byte> buf, TimePoint now,
+                            RelayOutput &out);
   void recordUpstreamPacket(Flow &flow, const FlowEndpoints &endpoints,
                             const FlowPacket &packet, TimePoint now,
                             RelayOutput &out);
@@ -225,6 +245,7 @@
   /// Flows that were removed at the first report of a new lifetime, although
   /// they may belong to it.
   absl::flat_hash_set<FlowEndpoints, std::hash<FlowEndpoints>> UncertainFlows;
+  ReturnedFlows NotHeldFlows;
   std::size_t ClosedFlows = 0;
   std::optional<TimePoint> RunningSince;
   std::deque<PendingOpen> PendingOpens;
@@ -345,7 +366,9 @@
       continue;
     }
     negative.Flows.push_back(
-        {it, !isSameService || (flow == nullptr && knowsAllFlows(it, now))});
+        {it, !isSameService ||
+                 (flow == nullptr &&
+                  (knowsAllFlows(it, now) || NotHeldFlows.contains(it, now)))});
   }
   if (!negative.Flows.empty())
     sendMessage(balancer, std::move(negative), out);
@@ -387,6 +410,7 @@
     if (!HasReport)
       FirstSequence = report.Sequence;
     UncertainFlows.clear();
+    NotHeldFlows.clear();
     for (const auto &[endpoints, flow] : Flows)
       if (flow.AcceptedByUpstream && now - flow.AcceptedAt < FirstReportDelay)
         UncertainFlows.insert(endpoints);
@@ -485,16 +509,28 @@
   sendMessage(balancer, std::move(message), out);
 }
 
-void UpstreamRelayImpl::deliver(RelayedPacket &message,
-                                const Endpoint &balancer, RelayOutput &out) {
+void UpstreamRelayImpl::deliver(Bytes packet, SentPacket origin,
+                                RelayOutput &out) {
   // A tag of 0 marks a packet that no agent has tagged.
   if (++LastTag == 0)
     LastTag = 1;
-  SentPackets[LastTag % SentPacketCapacity] = {LastTag, balancer,
-                                               message.Attempt};
-  Format.setTag(message.Packet, LastTag);
+  origin.Tag = LastTag;
+  SentPackets[LastTag % SentPacketCapacity] = std::move(origin);
+  Format.setTag(packet, LastTag);
   ++Counts.Delivered;
-  out.Datagrams.push_back({Options.Upstream, std::move(message.Packet)});
+  out.Datagrams.push_back({Options.Upstream, std::move(packet)});
+}
+
+void UpstreamRelayImpl::passOn(const FlowEndpoints &endpoints,
+                               ChainedPacket message, RelayOutput &out) {
+  ++Counts.NotHeld;
+  sendMessage(message.OriginBalancer, FlowsNotHeld{load(), {{endpoints, true}}},
+              out);
+  if (message.NextAgents.empty())
+    return;
+  const Endpoint next = message.NextAgents.front();
+  message.NextAgents.erase(message.NextAgents.begin());
+  sendMessage(next, std::move(message), out);
 }
 
 void UpstreamRelayImpl::onOpen(RelayedPacket message, const FlowPacket &packet,
@@ -506,10 +542,15 @@
       known != nullptr &&
       known->OpeningSequence.value_or(packet.Sequence) == packet.Sequence;
   if (isCopy) {
+    // The upstream may open the flow, so what it returned before no longer
+    // counts.
+    NotHeldFlows.remove(endpoints);
+    known->OpeningSequence = packet.Sequence;
     known->Balancer = balancer;
     known->LastPacketAt = now;
     known->HolderReported = false;
-    return deliver(message, balancer, out);
+    return deliver(std::move(message.Packet),
+                   {.Balancer = balancer, .Attempt = message.Attempt}, out);
   }
   ColdMilliflowsPerSecond = message.ColdMilliflowsPerSecond;
   if (const auto wait = declineDelay(message.Attempt, now))
@@ -521,6 +562,7 @@
     erase(endpoints);
     removePendingOpen(endpoints);
   }
+  NotHeldFlows.remove(endpoints);
   Flow &flow = insert(endpoints, now);
   flow.OpeningSequence = packet.Sequence;
   flow.Balancer = balancer;
@@ -528,7 +570,44 @@
   setBusy(flow, true, now);
   PendingOpens.push_back(
       {endpoints, balancer, message.Attempt, message.Packet, now});
-  deliver(message, balancer, out);
+  deliver(std::move(message.Packet),
+          {.Balancer = balancer, .Attempt = message.Attempt}, out);
+}
+
+bool UpstreamRelayImpl::isOtherConnection(const Flow &flow,
+                                          const FlowPacket &packet) {
+  return packet.Acknowledges && flow.FirstSequence != 0 &&
+         packet.Acknowledgement - flow.FirstSequence > SequenceWindowBytes;
+}
+
+void UpstreamRelayImpl::recordCallerPacket(const FlowEndpoints &endpoints,
+                                           const FlowPacket &packet,
+                                           const Endpoint &balancer,
+                                           bool wantsFlowHeld, TimePoint now,
+                                           RelayOutput &out) {
+  Flow *flow = find(endpoints);
+  // After a restart, the agent does not know which flows its upstream holds.
+  // The upstream returns packets of flows that it does not hold.
+  if (flow == nullptr && !packet.Resets)
+    flow = &insert(endpoints, now);
+  if (flow != nullptr) {
+    flow->LastPacketAt = now;
+    if (flow->Balancer != balancer)
+      flow->HolderReported = false;
+    flow->Balancer = balancer;
+    setClosed(*flow, packet.Ends, false);
+    recordRequest(*flow, packet, now);
+    // A restarted balancer has lost its record of the holder, and the upstream
+    // may have no packet to send that would trigger a FlowHeld message.
+    if (wantsFlowHeld && flow->AcceptedByUpstream)
+      sendFlowHeld(*flow, endpoints, out);
+    if (packet.Resets)
+      erase(endpoints);
+  }
+  // The caller no longer waits for an answer to its first packet, so a missing
+  // answer says nothing about the upstream.
+  if (packet.Resets)
+    removePendingOpen(endpoints);
 }
 
 void UpstreamRelayImpl::onRelayedPacket(RelayedPacket message,
@@ -549,45 +628,51 @@
   if (packet->Opens)
     return onOpen(std::move(message), *packet, balancer, now, out);
   const FlowEndpoints endpoints{packet->Source, packet->Destination};
-  Flow *flow = find(endpoints);
-  if (flow != nullptr) {
-    const bool isOtherConnection =
-        packet->Acknowledges && flow->FirstSequence != 0 &&
-        packet->Acknowledgement - flow->FirstSequence > SequenceWindowBytes;
-    if (isOtherConnection)
-      return returnToBalancer(ReturnReason::NotHeld, message.Attempt, {},
-                              std::move(message.Packet), balancer, out);
-  } else if (!packet->Resets) {
-    // After a restart, the agent does not know which flows its upstream holds.
-    // The upstream returns packets of flows that it does not hold.
-    flow = &insert(endpoints, now);
-  }
-  if (flow != nullptr) {
-    flow->LastPacketAt = now;
-    if (flow->Balancer != balancer)
-      flow->HolderReported = false;
-    flow->Balancer = balancer;
-    setClosed(*flow, packet->Ends, false);
-    recordRequest(*flow, *packet, now);
-    // A restarted balancer has lost its record of the holder, and the upstream
-    // may have no packet to send that would trigger a FlowHeld message.
-    if (message.WantsFlowHeld && flow->AcceptedByUpstream)
-      sendFlowHeld(*flow, endpoints, out);
-    if (packet->Resets)
-      erase(endpoints);
+  if (const Flow *flow = find(endpoints);
+      flow != nullptr && isOtherConnection(*flow, *packet))
+    return returnToBalancer(ReturnReason::NotHeld, message.Attempt, {},
+                            std::move(message.Packet), balancer, out);
+  recordCallerPacket(endpoints, *packet, balancer, message.WantsFlowHeld, now,
+                     out);
+  deliver(std::move(message.Packet),
+          {.Balancer = balancer, .Attempt = message.Attempt}, out);
+}
+
+void UpstreamRelayImpl::onChainedPacket(ChainedPacket message,
+                                        const Endpoint &sender, TimePoint now,
+                                        RelayOutput &out) {
+  const std::optional<FlowPacket> packet = Format.decode(message.Packet);
+  // Only an existing flow is searched for: a first packet in a chain would pass
+  // the admission of new flows.
+  if (!packet || packet->Opens) {
+    ++Counts.Malformed;
+    return;
   }
-  // The caller no longer waits for an answer to its first packet, so a missing
-  // answer says nothing about the upstream.
-  if (packet->Resets)
-    removePendingOpen(endpoints);
-  deliver(message, balancer, out);
+  if (message.OriginBalancer.Port == 0)
+    message.OriginBalancer = sender;
+  const FlowEndpoints endpoints{packet->Source, packet->Destination};
+  const Flow *flow = find(endpoints);
+  const bool isCertainlyNotHeld =
+      message.Service != Service ||
+      (flow == nullptr ? knowsAllFlows(endpoints, now) ||
+                             NotHeldFlows.contains(endpoints, now)
+                       : isOtherConnection(*flow, *packet));
+  if (isCertainlyNotHeld)
+    return passOn(endpoints, std::move(message), out);
+  recordCallerPacket(endpoints, *packet, message.OriginBalancer, true, now,
+                     out);
+  deliver(std::move(message.Packet),
+          {.Balancer = message.OriginBalancer,
+           .IsChained = true,
+           .NextAgents = std::move(message.NextAgents)},
+          out);
 }
 
 void UpstreamRelayImpl::onReturnedByUpstream(const FlowPacket &packet,
                                              std::span<const std::byte> buf,
-                                             RelayOutput &out) {
+                                             TimePoint now, RelayOutput &out) {
   const FlowEndpoints endpoints{packet.Source, packet.Destination};
-  const SentPacket &sent = SentPackets[packet.Tag % SentPacketCapacity];
+  SentPacket &sent = SentPackets[packet.Tag % SentPacketCapacity];
   if (packet.Tag == 0 || sent.Tag != packet.Tag) {
     // The entry of the tag has been reused, so the sender of the packet is
     // unknown. The caller will retransmit the packet.
@@ -596,12 +681,23 @@
   }
   Bytes copy(buf.begin(), buf.end());
   Format.clearTagAndReturned(copy);
+  // If the agent has seen the flow open or be accepted, the packet may belong
+  // to an earlier connection with the same endpoints.
+  const Flow *flow = find(endpoints);
+  if (!packet.Opens && (flow == nullptr ||
+                        (!flow->AcceptedByUpstream && !flow->OpeningSequence)))
+    NotHeldFlows.add(endpoints, now);
   erase(endpoints);
   UncertainFlows.erase(endpoints);
   removePendingOpen(endpoints);
   if (packet.Opens)
     returnToBalancer(ReturnReason::Declined, sent.Attempt, OverloadRetryDelay,
                      std::move(copy), sent.Balancer, out);
+  else if (sent.IsChained)
+    passOn(
+        endpoints,
+        {Service, sent.Balancer, std::move(sent.NextAgents), std::move(copy)},
+        out);
   else
     returnToBalancer(ReturnReason::NotHeld, sent.Attempt, {}, std::move(copy),
                      sent.Balancer, out);
@@ -653,8 +749,9 @@
   }
   IsUpstreamSeen = true;
   if (packet->Returned)
-    return onReturnedByUpstream(*packet, buf, out);
+    return onReturnedByUpstream(*packet, buf, now, out);
   const FlowEndpoints endpoints{packet->Destination, packet->Source};
+  NotHeldFlows.remove(endpoints);
   if (Flow *flow = find(endpoints))
     recordUpstreamPacket(*flow, endpoints, *packet, now, out);
   else if (!packet->Resets)
--- a/Source/Core/Wire/Codec.h
+++ b/Source/Core/Wire/Codec.h
@@ -182,6 +182,11 @@
   field(archive, id);
 }
 
+/// Lets list() encode endpoints.
+template <typename Archive> void fields(Archive &archive, Endpoint &it) {
+  field(archive, it);
+}
+
 /// Encodes and decodes a list of at most \p max messages. \p minElementBytes is
 /// the smallest encoded size of one of them.
 template <typename T>
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t MinCandidateBytes = 19;
 /// Encoded size of FlowEndpoints: two addresses of 6 bytes.
 constexpr std::size_t FlowEndpointsBytes = 12;
+/// Encoded size of an Endpoint.
+constexpr std::size_t EndpointBytes = 6;
 
 } // namespace
 
@@ -140,6 +142,13 @@
   list(archive, it.Flows, MaxFlowsInQuery, FlowEndpointsBytes + 1);
 }
 
+template <typename Archive> void fields(Archive &archive, ChainedPacket &it) {
+  field(archive, it.Service);
+  field(archive, it.OriginBalancer);
+  list(archive, it.NextAgents, MaxChainedAgents - 1, EndpointBytes);
+  bytes(archive, it.Packet, MaxOpaquePacketBytes);
+}
+
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf) {
   return decodeVariant<DataMessage>(buf, FirstDataType, MaxDatagramBytes);
 }
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -295,13 +295,32 @@
   friend bool operator==(const FlowsNotHeld &, const FlowsNotHeld &) = default;
 };
 
+/// Largest number of agents that a ChainedPacket visits.
+inline constexpr std::size_t MaxChainedAgents = 8;
+
+/// Balancer to agent and agent to agent, relay mode: a packet of a flow that
+/// visits agents in turn until the upstream of one of them holds the flow. That
+/// agent sends FlowHeld to the balancer, and each agent before it a
+/// FlowsNotHeld that is certain.
+struct ChainedPacket {
+  ServiceNameHash Service;
+  /// The balancer that searches for the holder. A balancer leaves it empty; the
+  /// first agent sets it to the address from which it received the message.
+  Endpoint OriginBalancer;
+  /// Agents to be asked after the receiver.
+  std::vector<Endpoint> NextAgents;
+  Bytes Packet;
+  friend bool operator==(const ChainedPacket &,
+                         const ChainedPacket &) = default;
+};
+
 /// New messages are appended, because the position of a type is its number on
 /// the wire.
 using DataMessage =
     std::variant<CallerPacket, ForwardedPacket, ChainExhausted, ProbeMissed,
                  LoadReport, CallerReply, PeerLeaseQuery, PeerLeaseReply,
                  RelayedPacket, ReturnedPacket, FlowHeld, FlowQuery,
-                 FlowsNotHeld>;
+                 FlowsNotHeld, ChainedPacket>;
 
 absl::StatusOr<DataMessage> decodeData(std::span<const std::byte> buf);
 
--- a/Source/Core/Wire/NodeMessages.cpp
+++ b/Source/Core/Wire/NodeMessages.cpp
@@ -54,11 +54,6 @@
   list(archive, it.FormerServices, MaxFormerServices, 4);
 }
 
-/// Lets list() encode endpoints.
-template <typename Archive> void fields(Archive &archive, Endpoint &it) {
-  field(archive, it);
-}
-
 template <typename Archive> void fields(Archive &archive, TableUpdate &it) {
   field(archive, it.From);
   field(archive, it.To);
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -8,6 +8,8 @@
 constexpr Endpoint Upstream{0x0A000001, 8080};
 constexpr Endpoint Balancer{0x0A000009, 6000};
 constexpr Endpoint OtherBalancer{0x0A00000A, 6000};
+constexpr Endpoint NextAgent{0x0A000002, 7000};
+constexpr Endpoint LastAgent{0x0A000003, 7000};
 constexpr std::uint16_t CallerPort = 9000;
 
 UpstreamReport makeReport(std::uint64_t sequence = 1,
@@ -59,6 +61,22 @@
     Relay->onUpstreamPacket(TestPacketFormat::encode(packet), Now, output);
     return output;
   }
+  RelayOutput chainPacket(const FlowPacket &packet,
+                          std::vector<Endpoint> next = {NextAgent, LastAgent},
+                          const Endpoint &origin = OtherBalancer,
+                          const std::string &service = "a") {
+    RelayOutput output;
+    Relay->onChainedPacket({hashServiceName(service), origin, std::move(next),
+                            TestPacketFormat::encode(packet)},
+                           Balancer, Now, output);
+    return output;
+  }
+  /// The upstream returns a packet that it was given.
+  RelayOutput sendBack(const RelayOutput &delivered) {
+    FlowPacket back = packetTo(delivered)->Packet;
+    back.Returned = true;
+    return sendFromUpstream(back);
+  }
   RelayOutput query(std::uint16_t caller, const std::string &service = "a") {
     RelayOutput output;
     Relay->onFlowQuery(
@@ -774,5 +792,151 @@
   EXPECT_EQ(Relay->load().Flows, 0);
 }
 
+struct ChainCase {
+  const char *Name;
+  /// The failure that the row guards against, printed when the row fails.
+  const char *Guards;
+  /// Service that the message names.
+  const char *NamedService;
+  /// The agent started after its upstream and does not know all flows.
+  bool IsRestarted;
+  bool IsOpen;
+  std::uint32_t Acknowledgement;
+  /// The upstream has returned another packet of the flow this long before.
+  std::optional<Duration> ReturnedBefore;
+  bool IsDelivered;
+};
+
+class ChainedPacketTest : public UpstreamRelayTest,
+                          public testing::WithParamInterface<ChainCase> {};
+
+TEST_P(ChainedPacketTest, IsDeliveredOrPassedOn) {
+  const ChainCase &it = GetParam();
+  startAgent(it.IsRestarted ? 60'000 : 0);
+  report(makeReport(it.IsRestarted ? 9 : 1));
+  if (it.IsOpen)
+    open(1);
+  if (it.ReturnedBefore) {
+    sendBack(relayPacket(dataPacket(1)));
+    Now += *it.ReturnedBefore;
+  }
+  const FlowPacket packet = dataPacket(1, it.Acknowledgement);
+  const RelayOutput output = chainPacket(packet, {NextAgent, LastAgent},
+                                         OtherBalancer, it.NamedService);
+  EXPECT_EQ(packetTo(output).has_value(), it.IsDelivered) << it.Guards;
+  EXPECT_EQ(messageOf<FlowHeld>(output).has_value(), it.IsOpen) << it.Guards;
+  EXPECT_EQ(messageOf<FlowsNotHeld>(output).has_value(), !it.IsDelivered)
+      << it.Guards;
+  EXPECT_EQ(messageOf<ChainedPacket>(output).has_value(), !it.IsDelivered)
+      << it.Guards;
+}
+
+const ChainCase ChainCases[] = {
+    {"HeldFlow", "a holder that is not confirmed", "a", false, true, 501,
+     std::nullopt, true},
+    {"KnownNotHeld", "a delivery to an upstream that lacks the flow", "a",
+     false, false, 501, std::nullopt, false},
+    {"Uncertain", "a flow that is denied without asking the upstream", "a",
+     true, false, 501, std::nullopt, true},
+    {"OtherService", "a packet for the upstream of another service", "b", true,
+     false, 501, std::nullopt, false},
+    {"ReturnedBefore", "a second delivery of what the upstream has returned",
+     "a", true, false, 501, Duration(9000), false},
+    {"ReturnedLongAgo", "a denial from memory that has expired", "a", true,
+     false, 501, Duration(10000), true},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, ChainedPacketTest,
+                         testing::ValuesIn(ChainCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+// Guards against a chain that ends at an upstream which returns the packet, and
+// against a negative reply that does not reach the balancer.
+TEST_F(UpstreamRelayTest, ReturnedChainedPacketCarriesOn) {
+  startAgent(60'000);
+  report(makeReport(9));
+  const FlowPacket packet = dataPacket(1, 501);
+  const RelayOutput delivered = chainPacket(packet);
+  ASSERT_TRUE(packetTo(delivered));
+  const RelayOutput output = sendBack(delivered);
+  ASSERT_EQ(output.Datagrams.size(), 2U);
+  EXPECT_EQ(output.Datagrams[0].To, OtherBalancer);
+  const auto negative = messageOf<FlowsNotHeld>(output);
+  ASSERT_TRUE(negative);
+  EXPECT_EQ(negative->Flows, (std::vector<FlowNotHeld>{
+                                 {{callerEndpoint(1), RouteAddress}, true}}));
+  EXPECT_EQ(output.Datagrams[1].To, NextAgent);
+  const auto chained = messageOf<ChainedPacket>(output);
+  ASSERT_TRUE(chained);
+  EXPECT_EQ(chained->Service, hashServiceName("a"));
+  EXPECT_EQ(chained->OriginBalancer, OtherBalancer);
+  EXPECT_EQ(chained->NextAgents, std::vector<Endpoint>{LastAgent});
+  const auto passedOn = Format.decode(chained->Packet);
+  ASSERT_TRUE(passedOn);
+  EXPECT_EQ(passedOn->Acknowledgement, 501U);
+  EXPECT_EQ(passedOn->Tag, 0U);
+  EXPECT_FALSE(passedOn->Returned);
+  // A second copy of the returned packet starts no second chain.
+  EXPECT_FALSE(messageOf<ChainedPacket>(sendBack(delivered)));
+  // The last agent of a chain sends only the reply.
+  EXPECT_EQ(sendBack(chainPacket(dataPacket(2), {})).Datagrams.size(), 1U);
+}
+
+// Guards against replies to the previous agent instead of the balancer that
+// searches, and against a holder that does not report to that balancer.
+TEST_F(UpstreamRelayTest, FirstAgentOfAChainSetsTheOrigin) {
+  startAgent(60'000);
+  report(makeReport(9));
+  const RelayOutput output =
+      sendBack(chainPacket(dataPacket(1), {NextAgent}, {}));
+  EXPECT_EQ(output.Datagrams.at(0).To, Balancer);
+  EXPECT_EQ(messageOf<ChainedPacket>(output)->OriginBalancer, Balancer);
+  chainPacket(dataPacket(2));
+  const RelayOutput answer = sendFromUpstream(fromUpstream(2, false, 501, 10));
+  ASSERT_TRUE(messageOf<FlowHeld>(answer));
+  EXPECT_EQ(answer.Datagrams.at(0).To, OtherBalancer);
+}
+
+// Guards against a first packet that reaches the upstream without admission.
+TEST_F(UpstreamRelayTest, FirstPacketInAChainIsDropped) {
+  report(makeReport());
+  EXPECT_TRUE(chainPacket(firstPacket(1)).Datagrams.empty());
+  EXPECT_EQ(Relay->counters().Malformed, 1U);
+}
+
+// Guards against denying an open flow because the upstream returned a packet
+// before the flow opened there, or a packet of an earlier connection.
+TEST_F(UpstreamRelayTest, ReturnedPacketsSayNothingOfLaterFlows) {
+  startAgent(60'000);
+  report(makeReport(9));
+  const auto giveBack = [&](std::uint16_t caller) {
+    return sendBack(relayPacket(dataPacket(caller)));
+  };
+  giveBack(1);
+  EXPECT_EQ(isCertainlyNotHeld(1), true);
+  relayPacket(firstPacket(1));
+  EXPECT_EQ(isCertainlyNotHeld(1), false);
+  // A packet that was given to the upstream before the flow opened.
+  const RelayOutput early = relayPacket(dataPacket(2));
+  relayPacket(firstPacket(2));
+  sendBack(early);
+  EXPECT_EQ(isCertainlyNotHeld(2), false);
+  // The upstream sends a packet of the flow.
+  giveBack(3);
+  sendFromUpstream(fromUpstream(3, false, 501, 10));
+  EXPECT_EQ(isCertainlyNotHeld(3), std::nullopt);
+}
+
+// Guards against a memory of returned flows that grows without limit.
+TEST_F(UpstreamRelayTest, ReturnedFlowsAreBounded) {
+  startAgent(60'000);
+  report(makeReport(9));
+  for (std::uint16_t caller = 1; caller <= 5000; ++caller)
+    sendBack(relayPacket(dataPacket(caller)));
+  EXPECT_EQ(isCertainlyNotHeld(1), false);
+  EXPECT_EQ(isCertainlyNotHeld(5000), true);
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Wire/RoundTripTest.cpp
+++ b/Source/UnitTests/Wire/RoundTripTest.cpp
@@ -37,6 +37,10 @@
   EXPECT_TRUE(
       encodeData(ChainExhausted{sampleForwarded(MaxPayloadBytes)}, buf).ok());
   EXPECT_LE(buf.size(), MaxDatagramBytes);
+  // The largest ChainedPacket is among the samples.
+  buf.clear();
+  EXPECT_TRUE(encodeData(sampleDataMessages().back(), buf).ok());
+  EXPECT_LE(buf.size(), MaxDatagramBytes);
 }
 
 // Guards against a name that settings accept and messages do not carry: the
@@ -54,6 +58,12 @@
 TEST(RoundTripTest, OversizedFieldIsRejectedByEncoder) {
   Bytes buf(3);
   EXPECT_FALSE(encodeData(sampleForwarded(MaxPayloadBytes + 1), buf).ok());
+  ChainedPacket chained;
+  chained.NextAgents.resize(MaxChainedAgents);
+  EXPECT_FALSE(encodeData(chained, buf).ok());
+  chained.NextAgents.clear();
+  chained.Packet.resize(MaxOpaquePacketBytes + 1);
+  EXPECT_FALSE(encodeData(chained, buf).ok());
   EXPECT_EQ(buf.size(), 3U);
 }
 
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -69,7 +69,12 @@
       FlowsNotHeld{UpstreamLoad{1, 2, 5},
                    std::vector<FlowNotHeld>(
                        MaxFlowsInQuery,
-                       {{{0x64400007, 40001}, {0xC6120001, 443}}, false})}};
+                       {{{0x64400007, 40001}, {0xC6120001, 443}}, false})},
+      ChainedPacket{
+          ServiceNameHash{77},
+          {0x0A000009, 6000},
+          std::vector<Endpoint>(MaxChainedAgents - 1, {0x0A000001, 7000}),
+          sampleBytes(MaxOpaquePacketBytes)}};
 }
 
 inline std::vector<SessionMessage> sampleSessionMessages() {
