Search for the holder of a flow along chains of agents

After agents have restarted, a balancer sent the packet of a flow directly to up to eight agents at a time, and each returned it. The packet now visits agents that have replied to a query in turn, in chains of up to eight, so it crosses the balancer's link once for eight agents. The kept packet is not sent again to a holder that has got it from the search. An agent that has replied to a query of a search is no longer taken out of rotation by it.

A repeated query started a new round and kept the packet back until all agents had been queried. It no longer does while agents wait for the packet.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -228,18 +228,22 @@
                 {"balancer", toString(it.To)},
                 {"busy", std::to_string(flowHeld->Load.BusyFlows)},
                 {"flows", std::to_string(flowHeld->Load.Flows)}});
+    const auto flowOf = [this](const Bytes &buf) {
+      const auto packet = Format->decode(buf);
+      return packet
+                 ? toString(FlowEndpoints{packet->Source, packet->Destination})
+                 : "";
+    };
     if (const auto *chained = std::get_if<ChainedPacket>(&message))
       logEvent(LogLevel::Info, "packet_passed_on", "",
-               {{"agent", toString(it.To)},
+               {{"flow", flowOf(chained->Packet)},
+                {"agent", toString(it.To)},
                 {"balancer", toString(chained->OriginBalancer)},
                 {"remaining", std::to_string(chained->NextAgents.size())}});
     if (const auto *returned = std::get_if<ReturnedPacket>(&message)) {
-      const auto packet = Format->decode(returned->Packet);
       logEvent(
           LogLevel::Info, "packet_given_back", "",
-          {{"flow", packet ? toString(FlowEndpoints{packet->Source,
-                                                    packet->Destination})
-                           : ""},
+          {{"flow", flowOf(returned->Packet)},
            {"why", returned->Reason == ReturnReason::Declined ? "declined"
                                                               : "not-held"},
            {"state", std::string(nameOf(Gate->state(steadyNow())))},
--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -284,12 +284,17 @@
 void RelayBalancer::onFlowHeld(const FlowHeld &message, const Endpoint &from) {
   Instruments->Held.add();
   const TimePoint now = steadyNow();
-  if (const auto found = Router->onFlowHeld(message, from, now))
+  const auto found = Router->onFlowHeld(message, from, now);
+  if (found)
     (found->BySearch ? Instruments->SearchTime : Instruments->PlacementTime)
         .observe(toSeconds(found->Elapsed));
   if (const auto kept =
-          KeptForSearch.takeOne({message.Caller, message.Service}, now))
+          KeptForSearch.takeOne({message.Caller, message.Service}, now)) {
+    // The search has delivered the packet already.
+    if (found && found->GotPacket && kept->WasSent)
+      return;
     onCallerDatagram(kept->Data, kept->Arrived);
+  }
 }
 
 void RelayBalancer::onReturnedPacket(ReturnedPacket message,
@@ -341,6 +346,7 @@
        {"reason", std::string(nameOf(decision.Reason))},
        {"agent", toString(decision.Agent)},
        {"others", std::to_string(decision.OtherAgents.size())},
+       {"chain", decision.IsChain ? "yes" : "no"},
        {"attempt", std::to_string(decision.Attempt)},
        {"queries", std::to_string(decision.Queries.size())},
        {"held_ms", std::to_string(heldFor.count())},
@@ -372,8 +378,11 @@
     sendQueries(decision, flow);
     return queryTableIfNeeded();
   }
-  if (decision.Action == RelayAction::Forward)
-    sendToAgents(decision, packet, buf);
+  if (decision.Action != RelayAction::Forward)
+    return;
+  sendToAgents(decision, packet, buf);
+  if (decision.Reason == RelayReason::Search)
+    KeptForSearch.markSent(flow, buf);
 }
 
 void RelayBalancer::send(const DatagramInfo &info,
@@ -393,6 +402,23 @@
 void RelayBalancer::sendToAgents(const RelayDecision &decision,
                                  const FlowPacket &packet,
                                  std::span<const std::byte> buf) {
+  DatagramInfo info{.To = decision.Agent,
+                    .Flow = {packet.Source, packet.Destination},
+                    .Sequence = packet.Sequence,
+                    .DataBytes = packet.DataBytes,
+                    .Opens = packet.Opens,
+                    .Ends = packet.Ends || packet.Resets};
+  if (decision.IsChain) {
+    for (const auto &[agent, chain] : makeChains(decision, buf)) {
+      SendBuffer.clear();
+      info.To = agent;
+      if (const auto encoded = encodeData(chain, SendBuffer); encoded.ok())
+        send(info, SendBuffer);
+      else
+        logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
+    }
+    return;
+  }
   SendBuffer.clear();
   const absl::Status encoded =
       encodeData(RelayedPacket{decision.Service, decision.Attempt,
@@ -404,12 +430,6 @@
     logEvent(LogLevel::Error, "encode_failed", encoded.ToString());
     return;
   }
-  DatagramInfo info{.To = decision.Agent,
-                    .Flow = {packet.Source, packet.Destination},
-                    .Sequence = packet.Sequence,
-                    .DataBytes = packet.DataBytes,
-                    .Opens = packet.Opens,
-                    .Ends = packet.Ends || packet.Resets};
   send(info, SendBuffer);
   for (const Endpoint &it : decision.OtherAgents) {
     info.To = it;
--- a/Source/Core/Relay/DeferredPackets.cpp
+++ b/Source/Core/Relay/DeferredPackets.cpp
@@ -19,7 +19,16 @@
   const auto it = Packets.find(flow);
   if (it == Packets.end() && Packets.size() >= MaxDeferredPackets)
     return;
-  Packets[flow] = {Bytes(buf.begin(), buf.end()), arrived};
+  const bool wasSent = it != Packets.end() && it->second.WasSent &&
+                       std::ranges::equal(it->second.Data, buf);
+  Packets[flow] = {Bytes(buf.begin(), buf.end()), arrived, wasSent};
+}
+
+void DeferredPackets::markSent(const FlowEndpoints &flow,
+                               std::span<const std::byte> buf) {
+  const auto it = Packets.find(flow);
+  if (it != Packets.end())
+    it->second.WasSent = std::ranges::equal(it->second.Data, buf);
 }
 
 std::optional<DeferredPackets::Packet>
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -553,7 +553,7 @@
     entry.Current = {};
     entry.Confirmed = false;
   }
-  return Searches.try_emplace(flow, now).first->second;
+  return Searches.try_emplace(flow, now, Options.UsesChains).first->second;
 }
 
 void FlowRouterImpl::endSearch(FlowEntry &entry, const FlowEndpoints &flow) {
@@ -594,6 +594,8 @@
       decision.Queries.push_back({it.Agent, it.Service});
     return decision;
   case SearchStep::Kind::Probe:
+  case SearchStep::Kind::Chain:
+    decision.IsChain = step.Action == SearchStep::Kind::Chain;
     decision.Action = RelayAction::Forward;
     decision.Agent = step.Agents[0].Agent;
     decision.Service = step.Agents[0].Service;
@@ -621,7 +623,7 @@
   const auto it = Searches.find(flow);
   if (it == Searches.end())
     return {.Action = RelayAction::Query, .Reason = RelayReason::Search};
-  it->second.onNotHeld(agent, message.IsCertain);
+  it->second.onNotHeld(agent, message.IsCertain, now);
   const RouteRecord *route = table.findRoute(flow.Service);
   if (route == nullptr)
     return resetUnlessTableIsOld(flow, RelayReason::NoRoute, table, now);
@@ -757,7 +759,7 @@
   if (isFromHolder && !isRefused && acceptedBy(entry.Current, packet)) {
     decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
   } else {
-    beginSearch(entry, flow, now).onNotHeld(agent, true);
+    beginSearch(entry, flow, now).onReturned(agent, now);
     decision = search(entry, flow, *route, table, now);
   }
   // A reset is sent only to a caller that waits for an answer, not in reply to
@@ -781,7 +783,8 @@
   std::optional<HolderConfirmation> found;
   entry.LostAt.reset();
   if (entry.ResolvingSince)
-    found = {entry.Searching, now - *entry.ResolvingSince};
+    found = {entry.Searching, now - *entry.ResolvingSince,
+             entry.Searching && Searches.at(flow).wasSentPacket(agent)};
   entry.ResolvingSince.reset();
   if (entry.Searching) {
     holder.Service = Searches.at(flow).serviceOf(agent);
@@ -821,6 +824,24 @@
   return std::make_unique<FlowRouterImpl>(std::move(options));
 }
 
+std::vector<std::pair<Endpoint, ChainedPacket>>
+makeChains(const RelayDecision &decision, std::span<const std::byte> packet) {
+  std::vector<Endpoint> agents{decision.Agent};
+  agents.insert(agents.end(), decision.OtherAgents.begin(),
+                decision.OtherAgents.end());
+  std::vector<std::pair<Endpoint, ChainedPacket>> chains;
+  for (std::span<const Endpoint> rest = agents; !rest.empty();) {
+    const auto chain = rest.first(std::min(rest.size(), MaxChainedAgents));
+    rest = rest.subspan(chain.size());
+    chains.push_back({chain[0],
+                      {decision.Service,
+                       {},
+                       {chain.begin() + 1, chain.end()},
+                       {packet.begin(), packet.end()}}});
+  }
+  return chains;
+}
+
 std::uint64_t hashFlowEndpoints(const FlowEndpoints &flow) {
   const auto pack = [](const Endpoint &it) {
     return (std::uint64_t{it.Address} << 16) | it.Port;
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -30,6 +30,10 @@
     /// Send the packet itself to each of Agents, all of which have the same
     /// service.
     Probe,
+    /// Send the packet along one chain for each MaxChainedAgents of Agents: to
+    /// the first agent, which passes it on to the next one, and so on. All have
+    /// the same service.
+    Chain,
     /// Every candidate has replied that it does not hold the flow.
     NotFound,
     /// Some candidates have not replied, so the flow may still exist.
@@ -41,15 +45,21 @@
 
 /// The search for the agent whose upstream holds a flow. Candidates are queried
 /// in their order, in rounds that grow. Only candidates that cannot tell from
-/// their flow table are sent the packet itself. A candidate that replied is not
-/// asked again, also if the search is resumed later: a flow does not move.
+/// their flow table are sent the packet itself: those that have replied to the
+/// query in a chain, one after the other, and the rest directly. A candidate
+/// that replied is not asked again, also if the search is resumed later: a flow
+/// does not move.
 class HolderSearch {
 public:
-  explicit HolderSearch(TimePoint startedAt) : StartedAt(startedAt) {}
+  /// If \p usesChains is false, the packet is only sent directly.
+  explicit HolderSearch(TimePoint startedAt, bool usesChains = true)
+      : StartedAt(startedAt), UsesChains(usesChains) {}
 
   /// Records that the upstream of \p agent does not hold the flow or, if
   /// \p isCertain is false, that the agent cannot tell.
-  void onNotHeld(const Endpoint &agent, bool isCertain);
+  void onNotHeld(const Endpoint &agent, bool isCertain, TimePoint now);
+  /// Records that the agent has returned the packet instead of passing it on.
+  void onReturned(const Endpoint &agent, TimePoint now);
   /// Records that the query to \p agent has been sent.
   void onQuerySent(const Endpoint &agent, TimePoint now);
   /// Returns whether advance() may return anything but Wait.
@@ -61,10 +71,13 @@
   /// Continues a search that ended with Unanswered: candidates that did not
   /// reply are asked again.
   void resume();
-  /// Agents that have not replied in time.
+  /// Agents that have replied to nothing in time. An agent that replied to a
+  /// query is none of them: its upstream may be at work on the packet.
   std::vector<Endpoint> unresponsive() const;
   /// Returns the service for which the agent was queried, if it was.
   std::optional<ServiceNameHash> serviceOf(const Endpoint &agent) const;
+  /// Returns whether the packet was sent to the agent, directly or in a chain.
+  bool wasSentPacket(const Endpoint &agent) const;
   bool isFinished() const { return Finished; }
   /// Continues a search that ended with NotFound in a table of \p revision. A
   /// later table may have further candidates.
@@ -85,24 +98,50 @@
     /// The agent cannot tell, or may know no queries.
     Unsure,
     Probed,
+    /// In a chain, and has not replied yet.
+    Chained,
+    /// The chain stopped at this agent, which was then sent the packet
+    /// directly.
+    Retried,
     Unresponsive
   };
   struct Inquiry {
     HolderCandidate Agent;
     State Status = State::Queried;
     std::uint8_t Queries = 0;
+    /// The agent has replied to a query of this search.
+    bool HasReplied = false;
+    bool WasSentPacket = false;
+    /// Number of the agent's chain. Set for Chained and Retried.
+    std::size_t Chain = 0;
     /// Not set while the query waits to be sent.
     std::optional<TimePoint> SentAt;
   };
 
   bool isDue(const Inquiry &it, TimePoint now) const;
   void expireInquiries(TimePoint now);
-  SearchStep probeUnsure(TimePoint now);
+  /// Sends the packet to agents that cannot tell.
+  SearchStep askUnsure(std::span<const HolderCandidate> candidates,
+                       TimePoint now);
+  /// Sends the packet to the agents at which the chains have stopped.
+  SearchStep retryChains(TimePoint now);
+  void recordChainProgress(TimePoint now);
+  /// The agents of the chain that have not replied are asked again.
+  void releaseChain(std::size_t chain);
   bool hasStatus(State status) const;
 
   TimePoint StartedAt;
   std::map<Endpoint, Inquiry> Inquiries;
   std::size_t RoundSize = 0;
+  bool UsesChains;
+  /// The agents of the latest chains, in their order.
+  std::vector<Endpoint> ChainedAgents;
+  /// When the chains have made no progress for too long.
+  TimePoint ChainDueAt{};
+  /// Latest time for ChainDueAt.
+  TimePoint ChainsEndAt{};
+  /// Number of times that chains were due.
+  std::uint8_t ChainStops = 0;
   bool Finished = false;
   std::optional<Revision> TableWithoutHolder;
   std::optional<TimePoint> AwaitingSince;
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -129,6 +129,8 @@
   Endpoint Agent{};
   /// In a search, further agents that are sent the same packet.
   std::vector<Endpoint> OtherAgents{};
+  /// The agents are sent the messages of makeChains() instead.
+  bool IsChain = false;
   /// Set for Query only. Empty if the search waits for replies.
   std::vector<QueryTarget> Queries{};
   ServiceNameHash Service{};
@@ -143,6 +145,11 @@
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
 };
 
+/// Returns the messages that send a packet along the chains of a decision, each
+/// with the agent that is sent it. A chain has at most MaxChainedAgents agents.
+std::vector<std::pair<Endpoint, ChainedPacket>>
+makeChains(const RelayDecision &decision, std::span<const std::byte> packet);
+
 struct FlowRouterOptions {
   /// New flows prefer upstreams in the balancer's own data centre.
   std::string DataCentre;
@@ -165,6 +172,9 @@
   /// Longest time for which a first packet is deferred until an upstream is
   /// free. It equals the shortest response-time goal of the deployments.
   Duration MaxDeferral{100};
+  /// In a search, agents that cannot tell whether they hold the flow pass its
+  /// packet on to each other. If false, the balancer sends it to each of them.
+  bool UsesChains = true;
 };
 
 /// Buffer for packets that cannot be forwarded yet, because the balancer has no
@@ -176,10 +186,15 @@
   struct Packet {
     Bytes Data;
     TimePoint Arrived{};
+    /// See markSent().
+    bool WasSent = false;
   };
 
   void add(const FlowEndpoints &flow, std::span<const std::byte> buf,
            TimePoint arrived);
+  /// Records that the packet \p buf was sent in a search. It does nothing if
+  /// the packet of the flow is another one.
+  void markSent(const FlowEndpoints &flow, std::span<const std::byte> buf);
   /// Removes and returns the packet of a flow, or nullopt if there is none that
   /// has not expired.
   std::optional<Packet> takeOne(const FlowEndpoints &flow, TimePoint now);
@@ -201,6 +216,8 @@
   /// True if a search found the holder, false if the flow was newly placed.
   bool BySearch = false;
   Duration Elapsed{0};
+  /// The search has sent the holder the packet that was kept for it.
+  bool GotPacket = false;
 };
 
 /// A decision on the kept packet of a flow.
--- a/Source/UnitTests/Relay/DeferredPacketsTest.cpp
+++ b/Source/UnitTests/Relay/DeferredPacketsTest.cpp
@@ -40,5 +40,25 @@
   EXPECT_EQ(kept[2].Data[0], std::byte{10});
 }
 
+// Guards against dropping a newer packet of a flow because the search has sent
+// an older one, and against sending the same packet again.
+TEST(DeferredPacketsTest, OnlyTheSamePacketCountsAsSent) {
+  DeferredPackets packets;
+  const TimePoint start{Duration(1000)};
+  const FlowEndpoints flow{callerEndpoint(1), RouteAddress};
+  const Bytes older{std::byte{1}};
+  const Bytes newer{std::byte{2}};
+  packets.markSent(flow, older);
+  packets.add(flow, older, start);
+  EXPECT_FALSE(packets.find(flow)->WasSent);
+  packets.markSent(flow, older);
+  packets.add(flow, older, start);
+  EXPECT_TRUE(packets.find(flow)->WasSent);
+  packets.add(flow, newer, start);
+  EXPECT_FALSE(packets.find(flow)->WasSent);
+  packets.markSent(flow, older);
+  EXPECT_FALSE(packets.find(flow)->WasSent);
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Relay/HolderSearchTest.cpp
+++ b/Source/UnitTests/Relay/HolderSearchTest.cpp
@@ -296,6 +296,98 @@
   EXPECT_EQ(routeFromCaller(packet).Action, RelayAction::Drop);
 }
 
+/// A search in which the agents of the first round cannot tell.
+class StoppedChainTest : public HolderSearchTest {
+protected:
+  StoppedChainTest() {
+    const RelayDecision first = routeFromCaller(dataPacket(1));
+    RelayDecision decision;
+    for (const QueryTarget &it : first.Queries)
+      decision = replyNotHeld(it.Agent, false);
+    Chain.push_back(decision.Agent);
+    Chain.insert(Chain.end(), decision.OtherAgents.begin(),
+                 decision.OtherAgents.end());
+    IsChain = decision.IsChain;
+    for (const QueryTarget &it : first.Queries)
+      Queried.push_back(it.Agent);
+  }
+  static std::vector<Endpoint> agentsOf(const RelayDecision &decision) {
+    std::vector<Endpoint> agents{decision.Agent};
+    agents.insert(agents.end(), decision.OtherAgents.begin(),
+                  decision.OtherAgents.end());
+    return agents;
+  }
+  /// Expects that nothing is sent before \p delay has passed.
+  RelayDecision pollAfter(Duration delay) {
+    Now += delay - Duration(1);
+    EXPECT_EQ(poll().Action, RelayAction::Query);
+    Now += Duration(1);
+    return poll();
+  }
+
+  std::vector<Endpoint> Chain;
+  bool IsChain = false;
+};
+
+// Guards against a chain that ends with an agent that is gone, against copies
+// for a retransmitted packet, and against taking agents out of rotation whose
+// upstreams are at work: first packets were refused for 1 s after a restart of
+// all processes.
+TEST_F(StoppedChainTest, GoesOnWithoutTheAgentThatDoesNotReply) {
+  ASSERT_TRUE(IsChain);
+  EXPECT_EQ(Chain, Queried) << "likely holders are first";
+  ASSERT_GE(Chain.size(), 4U);
+  const RelayDecision again = routeFromCaller(dataPacket(1));
+  EXPECT_EQ(again.Action, RelayAction::Query);
+  EXPECT_TRUE(again.Queries.empty());
+  Now += Duration(100);
+  replyNotHeld(Chain[0]);
+  const RelayDecision direct = pollAfter(Duration(150));
+  EXPECT_FALSE(direct.IsChain);
+  EXPECT_EQ(agentsOf(direct), std::vector<Endpoint>{Chain[1]});
+  EXPECT_EQ(routeFromCaller(dataPacket(1)).Action, RelayAction::Query);
+  const RelayDecision rest = pollAfter(Duration(350));
+  EXPECT_TRUE(rest.IsChain);
+  EXPECT_EQ(agentsOf(rest),
+            std::vector<Endpoint>(Chain.begin() + 2, Chain.end()));
+  // The second stop ends the use of chains.
+  const RelayDecision last = pollAfter(Duration(150));
+  EXPECT_FALSE(last.IsChain);
+  EXPECT_EQ(agentsOf(last), agentsOf(rest));
+  Now += Duration(150);
+  EXPECT_FALSE(poll().Queries.empty());
+  std::set<Endpoint> placed;
+  for (std::uint16_t caller = 100; caller < 1000; ++caller)
+    placed.insert(routeFromCaller(firstPacket(caller)).Agent);
+  for (const Endpoint &it : Chain)
+    EXPECT_TRUE(placed.contains(it));
+}
+
+// Guards against waiting for an agent of the previous release, which drops
+// chained packets and returns direct ones.
+TEST_F(StoppedChainTest, GoesOnAtOnceAfterAReturnedPacket) {
+  EXPECT_EQ(agentsOf(pollAfter(Duration(150))),
+            std::vector<Endpoint>{Chain[0]});
+  const RelayDecision rest = returnPacket(Chain[0]);
+  EXPECT_TRUE(rest.IsChain);
+  EXPECT_EQ(agentsOf(rest),
+            std::vector<Endpoint>(Chain.begin() + 1, Chain.end()));
+}
+
+// Guards against a second chain beside the first, which goes on after an
+// upstream was slow to return the packet.
+TEST_F(StoppedChainTest, LateReplyStartsNoSecondChain) {
+  pollAfter(Duration(150));
+  Now += Duration(250);
+  EXPECT_EQ(replyNotHeld(Chain[0]).Action, RelayAction::Query);
+  EXPECT_EQ(returnPacket(Chain[0]).Action, RelayAction::Query);
+  EXPECT_EQ(replyNotHeld(Chain[1]).Action, RelayAction::Query);
+  // The holder, which got the packet, needs no other copy.
+  const auto found = confirmHolder(1, Chain[2]);
+  ASSERT_TRUE(found);
+  EXPECT_TRUE(found->GotPacket);
+}
+
 class LargeServiceTest : public HolderSearchTest {
 protected:
   static constexpr std::uint32_t Upstreams = 400;
