Separate the placement policy from the flow router

The choice of an upstream for a new flow was part of FlowRouterImpl, so that another policy could only be added inside it. It is now the interface PlacementPolicy with the implementation least-loaded, and what a balancer knows of agents is the class AgentLoads. A status also records when its load was reported; nothing uses that yet.

No change of behaviour.

--- /dev/null
+++ b/Source/Core/Relay/AgentLoads.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Relay/Relay.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace pistachio {
+
+/// Load and availability of an agent, as known to this balancer.
+struct AgentStatus {
+  UpstreamLoad Load;
+  /// When the agent reported Load. Not set before its first answer.
+  std::optional<TimePoint> ReportedAt;
+  /// Flows placed on the agent since it last reported its load.
+  std::uint32_t PlacedSinceReport = 0;
+  /// The agent declined a flow and is offered no new flow before this time.
+  TimePoint AvoidUntil{};
+  TimePoint SilentUntil{};
+  bool AnswersQueries = false;
+};
+
+/// What a balancer knows of the agents to which it forwards packets.
+class AgentLoads {
+public:
+  /// Returns nullptr if the agent has neither answered nor been offered a flow.
+  const AgentStatus *find(const Endpoint &agent) const;
+  /// Stores the load reported by an agent and marks the agent as responsive.
+  void recordAnswer(const Endpoint &agent, const UpstreamLoad &load,
+                    TimePoint now);
+  void recordAnswersQueries(const Endpoint &agent);
+  void recordDecline(const Endpoint &agent, TimePoint avoidUntil);
+  void recordTimeout(const Endpoint &agent, TimePoint silentUntil);
+  void recordPlacement(const Endpoint &agent);
+
+private:
+  absl::flat_hash_map<Endpoint, AgentStatus, std::hash<Endpoint>> Agents;
+};
+
+} // namespace pistachio
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -1,4 +1,6 @@
+#include "AgentLoads.h"
 #include "HolderSearch.h"
+#include "PlacementPolicy.h"
 #include "RankedMembers.h"
 
 #include "Relay/Relay.h"
@@ -6,7 +8,6 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace pistachio {
 namespace {
@@ -15,20 +16,6 @@
 /// 8 bits.
 constexpr std::uint8_t MaxAttempts = 250;
 
-/// Average load of one open flow, in requests. Long-lived flows are idle most
-/// of the time.
-constexpr double LoadPerOpenFlow = 0.05;
-
-/// Added to the load per slot of upstreams in other data centres: such an
-/// upstream is chosen only if its load is lower by more than this share of its
-/// slots.
-constexpr double RemoteLoadPenalty = 0.2;
-
-/// A first packet may go to any member of a service of up to this many: the
-/// choice by load then spreads flows better than one among a few, and a search
-/// is short all the same.
-constexpr std::size_t MaxMembersOfOneChoice = 16;
-
 /// A search that found no holder because agents did not reply is kept this
 /// long, so that the next packet of the flow asks only those again.
 constexpr Duration SearchRetention{5000};
@@ -38,17 +25,6 @@
 /// both accepted the first packet use different initial sequence numbers.
 constexpr std::uint32_t SequenceWindowBytes = 16U * 1024 * 1024;
 
-/// Load and availability of an agent, as known to this balancer.
-struct AgentStatus {
-  UpstreamLoad Load;
-  /// Flows placed on the agent since it last reported its load.
-  std::uint32_t PlacedSinceReport = 0;
-  /// The agent declined a flow and is offered no new flow before this time.
-  TimePoint AvoidUntil{};
-  TimePoint SilentUntil{};
-  bool AnswersQueries = false;
-};
-
 struct Holder {
   Endpoint Agent;
   std::uint32_t FirstSequence = 0;
@@ -156,7 +132,7 @@
 class FlowRouterImpl final : public FlowRouter {
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
-      : Options(std::move(options)) {}
+      : Options(std::move(options)), Policy(makeLeastLoadedPolicy()) {}
 
   RelayDecision onCallerPacket(const FlowPacket &packet,
                                const ServiceTable &table,
@@ -211,19 +187,9 @@
   SearchCandidates candidates(const FlowEndpoints &flow,
                               const RouteRecord &route,
                               const ServiceTable &table, TimePoint now) const;
-  /// Returns the least loaded eligible member of the first tiers that have one.
-  const ServiceMember *chooseMember(const FlowEndpoints &flow,
-                                    const Service &service,
-                                    DataCentreId localDataCentre,
-                                    TimePoint now) const;
   static const RouteShare *chooseShare(const FlowEndpoints &flow,
                                        const RouteRecord &route);
-  double loadOf(const ServiceMember &member,
-                DataCentreId localDataCentre) const;
-  bool isEligible(const ServiceMember &member, TimePoint now) const;
   FlowEntry &findOrInsert(const FlowEndpoints &flow, TimePoint now);
-  /// Stores the load reported by an agent and marks the agent as responsive.
-  AgentStatus &recordAnswer(const Endpoint &agent, const UpstreamLoad &load);
   void recordTimeout(const Endpoint &agent, TimePoint now);
   static RelayDecision forwardDecision(const FlowEntry &entry,
                                        RelayReason reason);
@@ -250,10 +216,11 @@
                               RelayReason reason, TimePoint now);
 
   FlowRouterOptions Options;
+  std::unique_ptr<PlacementPolicy> Policy;
   absl::flat_hash_map<FlowEndpoints, FlowEntry, std::hash<FlowEndpoints>> Flows;
   absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
       Searches;
-  absl::flat_hash_map<Endpoint, AgentStatus, std::hash<Endpoint>> Agents;
+  AgentLoads Agents;
   /// Arguments of the latest call of confirmTable().
   std::optional<TimePoint> ConfirmedAt;
   Revision ConfirmedRevision;
@@ -280,23 +247,13 @@
   return decision;
 }
 
-AgentStatus &FlowRouterImpl::recordAnswer(const Endpoint &agent,
-                                          const UpstreamLoad &load) {
-  AgentStatus &status = Agents[agent];
-  status.SilentUntil = {};
-  status.Load = load;
-  status.PlacedSinceReport = 0;
-  return status;
-}
-
 void FlowRouterImpl::recordTimeout(const Endpoint &agent, TimePoint now) {
   // On a congested link only the flow itself goes to another agent, at this
   // moment: the agent may have failed all the same.
   constexpr Duration PenaltyOfOneChoice{1};
-  TimePoint &silentUntil = Agents[agent].SilentUntil;
-  silentUntil = std::max(silentUntil,
-                         now + (IsLinkCongested ? PenaltyOfOneChoice
-                                                : Options.UnresponsivePenalty));
+  Agents.recordTimeout(agent,
+                       now + (IsLinkCongested ? PenaltyOfOneChoice
+                                              : Options.UnresponsivePenalty));
 }
 
 RelayDecision FlowRouterImpl::removeFlow(const FlowEndpoints &flow,
@@ -414,57 +371,6 @@
   return nullptr;
 }
 
-bool FlowRouterImpl::isEligible(const ServiceMember &member,
-                                TimePoint now) const {
-  if (member.State != CandidateState::Accepting)
-    return false;
-  const auto it = Agents.find(member.Address);
-  return it == Agents.end() ||
-         (now >= it->second.AvoidUntil && now >= it->second.SilentUntil);
-}
-
-double FlowRouterImpl::loadOf(const ServiceMember &member,
-                              DataCentreId localDataCentre) const {
-  const double remote =
-      member.DataCentre == localDataCentre ? 0 : RemoteLoadPenalty;
-  const auto it = Agents.find(member.Address);
-  if (it == Agents.end())
-    return remote;
-  const AgentStatus &status = it->second;
-  const double work = status.Load.BusyFlows +
-                      status.PlacedSinceReport * (LoadPerOpenFlow + 0.5) +
-                      status.Load.Flows * LoadPerOpenFlow;
-  return remote + work / std::max<double>(status.Load.Slots, 1);
-}
-
-const ServiceMember *FlowRouterImpl::chooseMember(const FlowEndpoints &flow,
-                                                  const Service &service,
-                                                  DataCentreId localDataCentre,
-                                                  TimePoint now) const {
-  const std::vector<RankedMember> ranked =
-      rankMembers(flow, service.members(), {}, localDataCentre);
-  const bool isOneChoice = ranked.size() <= MaxMembersOfOneChoice;
-  // Tiers are taken in groups of 1, 2, 4 and so on.
-  std::uint32_t lastTier = 0;
-  const ServiceMember *best = nullptr;
-  double bestLoad = 0;
-  for (const RankedMember &it : ranked) {
-    if (!isOneChoice && it.Tier > lastTier) {
-      if (best != nullptr)
-        break;
-      lastTier = 2 * lastTier + 2;
-    }
-    if (!isEligible(*it.Member, now))
-      continue;
-    const double load = loadOf(*it.Member, localDataCentre);
-    if (best == nullptr || load < bestLoad) {
-      best = it.Member;
-      bestLoad = load;
-    }
-  }
-  return best;
-}
-
 RelayDecision FlowRouterImpl::placeFlow(FlowEntry &entry,
                                         const FlowEndpoints &flow,
                                         const RouteRecord &route,
@@ -476,8 +382,9 @@
   if (service == nullptr)
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
-  const ServiceMember *best =
-      chooseMember(flow, *service, localDataCentre, now);
+  const ServiceMember *best = Policy->choose(
+      flow, rankMembers(flow, service->members(), {}, localDataCentre),
+      localDataCentre, Agents, now);
   if (best == nullptr)
     return deferFirstPacket(entry, flow, *service, now);
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
@@ -487,7 +394,7 @@
   entry.Confirmed = false;
   endSearch(entry, flow);
   entry.ForwardedAt = now;
-  ++Agents[best->Address].PlacedSinceReport;
+  Agents.recordPlacement(best->Address);
   return forwardDecision(entry, RelayReason::Placed);
 }
 
@@ -503,11 +410,9 @@
   const TimePoint end = *entry.DeferredSince + Options.MaxDeferral;
   const bool isFreeInTime =
       std::ranges::any_of(service.members(), [&](const ServiceMember &it) {
-        const auto status = Agents.find(it.Address);
-        return it.State == CandidateState::Accepting &&
-               status != Agents.end() &&
-               std::max(status->second.AvoidUntil, status->second.SilentUntil) <
-                   end;
+        const AgentStatus *status = Agents.find(it.Address);
+        return it.State == CandidateState::Accepting && status != nullptr &&
+               std::max(status->AvoidUntil, status->SilentUntil) < end;
       });
   if (!isFreeInTime || now >= end)
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
@@ -530,13 +435,12 @@
          rankMembers(flow, service->members(), table.withdrawnMembers(id),
                      localDataCentre)) {
       const ServiceMember &member = *it.Member;
-      const auto status = Agents.find(member.Address);
-      const bool isKnown = status != Agents.end();
+      const AgentStatus *status = Agents.find(member.Address);
       const bool isSilent = member.State == CandidateState::Suspect ||
-                            (isKnown && now < status->second.SilentUntil);
+                            (status != nullptr && now < status->SilentUntil);
       (isSilent ? silent : found.All)
-          .push_back(
-              {member.Address, name, isKnown && status->second.AnswersQueries});
+          .push_back({member.Address, name,
+                      status != nullptr && status->AnswersQueries});
       found.FirstRound += it.Tier == 0 ? 1 : 0;
     }
   }
@@ -618,7 +522,8 @@
                                             const Endpoint &agent,
                                             const ServiceTable &table,
                                             TimePoint now) {
-  recordAnswer(agent, load).AnswersQueries = true;
+  Agents.recordAnswer(agent, load, now);
+  Agents.recordAnswersQueries(agent);
   const FlowEndpoints &flow = message.Flow;
   const auto it = Searches.find(flow);
   if (it == Searches.end())
@@ -727,7 +632,7 @@
                                                const ServiceTable &table,
                                                TimePoint now) {
   const FlowEndpoints flow{packet.Source, packet.Destination};
-  AgentStatus &status = recordAnswer(agent, message.Load);
+  Agents.recordAnswer(agent, message.Load, now);
   const RouteRecord *route = table.findRoute(packet.Destination);
   if (route == nullptr)
     return removeFlow(flow, RelayAction::Drop, RelayReason::NoRoute);
@@ -742,7 +647,7 @@
       (!packet.Opens || takesNewFlows(entry.Current, *route, table)))
     return forwardToHolder(entry, visitedAgents);
   if (packet.Opens) {
-    status.AvoidUntil = now + Duration(message.RetryAfterMs);
+    Agents.recordDecline(agent, now + Duration(message.RetryAfterMs));
     entry.Attempt = visitedAgents;
     entry.Current = {};
     return placeFlow(entry, flow, *route, table, now);
@@ -772,7 +677,7 @@
 std::optional<HolderConfirmation>
 FlowRouterImpl::onFlowHeld(const FlowHeld &message, const Endpoint &agent,
                            TimePoint now) {
-  recordAnswer(agent, message.Load);
+  Agents.recordAnswer(agent, message.Load, now);
   const FlowEndpoints flow{message.Caller, message.Service};
   FlowEntry &entry = findOrInsert(flow, now);
   Holder holder{agent, message.FirstSequence, std::nullopt, now};
--- /dev/null
+++ b/Source/Core/Relay/PlacementPolicy.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "AgentLoads.h"
+#include "RankedMembers.h"
+
+#include "Relay/Relay.h"
+
+#include <memory>
+#include <span>
+
+namespace pistachio {
+
+/// Chooses the upstream that a new flow is offered to. A policy has no state of
+/// its own: it decides by what the balancer knows of the agents.
+class PlacementPolicy {
+public:
+  virtual ~PlacementPolicy() = default;
+  /// Returns one of \p candidates, which are in the order of rankMembers(), or
+  /// nullptr if none of them accepts new flows at present.
+  virtual const ServiceMember *choose(const FlowEndpoints &flow,
+                                      std::span<const RankedMember> candidates,
+                                      DataCentreId localDataCentre,
+                                      const AgentLoads &agents,
+                                      TimePoint now) const = 0;
+};
+
+/// Returns the policy that chooses the least loaded candidate.
+std::unique_ptr<PlacementPolicy> makeLeastLoadedPolicy();
+
+} // namespace pistachio
