State the mean time of a request in the load of an upstream

expected-wait could not tell slow upstreams from fast ones when its reports are old. With the agent setting report_service_time, UpstreamLoad now carries the mean service time. Processes of the previous release reject longer messages, so the time is packed into the three 16-bit fields: bit 14 of the slots marks it, which no upstream of at most 10,000 slots has, and the busy field is scaled so that an old reader computes the same load per slot, at most 0.004 too high. A load of an old sender has no time. Without the setting the messages are as before.

WireTests check both directions for 3,584 loads.

--- a/Source/Agent/RelayAgent.cpp
+++ b/Source/Agent/RelayAgent.cpp
@@ -65,6 +65,7 @@
   options.ColdOvershoot = Settings.ColdOvershoot;
   options.ColdSlack = Settings.ColdSlack;
   options.ReportTimeout = Duration(Settings.ReportMs) * MaxMissedReports;
+  options.ReportsServiceTime = Settings.ReportsServiceTime;
   options.StartedAtMs = wallClockMs();
   Gate = makeUpstreamRelay(std::move(options), *Format);
 }
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -388,6 +388,8 @@
   Duration OpenTimeout{150};
   Duration FlowIdleTimeout{60000};
   std::size_t MaxFlows = 20000;
+  /// States the mean time of a request in UpstreamLoad.
+  bool ReportsServiceTime = false;
   /// Start of the agent process, in milliseconds since the Unix epoch.
   std::uint64_t StartedAtMs = 0;
 };
--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -378,8 +378,13 @@
   const auto clamp = [](std::size_t n) {
     return static_cast<std::uint16_t>(std::min<std::size_t>(n, 0xFFFF));
   };
+  // A time below 1 ms is stated as 1 ms, because 0 means that it is not stated.
+  const std::size_t serviceTimeMs =
+      Options.ReportsServiceTime && ServiceTimeMs > 0
+          ? static_cast<std::size_t>(std::max(ServiceTimeMs, 1.0))
+          : 0;
   return {clamp(BusyFlows), clamp(Flows.size() - ClosedFlows),
-          clamp(LastReport.Slots)};
+          clamp(LastReport.Slots), clamp(serviceTimeMs)};
 }
 
 LocalUpstreamState UpstreamRelayImpl::state(TimePoint now) const {
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -582,6 +582,7 @@
                          settings.ColdOvershoot);
           reader.decimal("cold_slack", MaxColdLimit, settings.ColdSlack);
           reader.number("report_ms", 1, MaxReportMs, settings.ReportMs);
+          settings.ReportsServiceTime = reader.flag("report_service_time");
         } else {
           settings.Control = reader.endpoints("control");
         }
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -84,6 +84,8 @@
   double ColdSlack = 5;
   /// Mode Relay: interval between two reports of the upstream.
   std::uint32_t ReportMs = 1000;
+  /// Mode Relay: the agent states the mean time of a request to the balancers.
+  bool ReportsServiceTime = false;
   std::string Service;
   std::string DataCentre;
   std::string Zone;
--- a/Source/Core/Wire/DataMessages.cpp
+++ b/Source/Core/Wire/DataMessages.cpp
@@ -2,6 +2,10 @@
 
 #include "Wire/Codec.h"
 
+#include <algorithm>
+#include <cmath>
+#include <type_traits>
+
 namespace pistachio {
 namespace {
 
@@ -19,6 +23,62 @@
 /// Encoded size of an Endpoint.
 constexpr std::size_t EndpointBytes = 6;
 
+/// Added to the slots of an UpstreamLoad that states its service time.
+constexpr std::uint32_t AddedSlots = 0x4000;
+constexpr std::uint32_t MaxSlotsWithTime = 256;
+constexpr std::uint32_t MaxTimeCode = 63;
+constexpr double TimeCodesPerDoubling = 4;
+/// Open flows that readers count as one request.
+constexpr std::uint64_t FlowsPerRequest = 20;
+
+/// Returns the value of the busy field that, with AddedSlots more slots, gives
+/// the load per slot of the upstream, before the service time is added.
+std::uint64_t busyFieldOf(std::uint64_t busyFlows, std::uint64_t flows,
+                          std::uint64_t slots) {
+  const std::uint64_t divisor = FlowsPerRequest * slots;
+  return (FlowsPerRequest * busyFlows * (AddedSlots + slots) +
+          flows * AddedSlots + divisor - 1) /
+         divisor;
+}
+
+UpstreamLoad toWireFields(const UpstreamLoad &it) {
+  UpstreamLoad raw{it.BusyFlows, it.Flows, it.Slots};
+  if (it.ServiceTimeMs == 0 || it.Slots == 0 || it.Slots > MaxSlotsWithTime)
+    return raw;
+  const std::uint64_t busy = busyFieldOf(it.BusyFlows, it.Flows, it.Slots);
+  if (busy + MaxTimeCode > 0xFFFF)
+    return raw;
+  const double code = std::round(
+      TimeCodesPerDoubling * std::log2(static_cast<double>(it.ServiceTimeMs)));
+  raw.BusyFlows = static_cast<std::uint16_t>(
+      busy + std::min(static_cast<std::uint32_t>(code), MaxTimeCode));
+  raw.Slots = static_cast<std::uint16_t>(AddedSlots + it.Slots);
+  return raw;
+}
+
+UpstreamLoad fromWireFields(const UpstreamLoad &raw) {
+  if (raw.Slots <= AddedSlots || raw.Slots > AddedSlots + MaxSlotsWithTime)
+    return raw;
+  UpstreamLoad it;
+  it.Flows = raw.Flows;
+  it.Slots = static_cast<std::uint16_t>(raw.Slots - AddedSlots);
+  // The largest number of busy flows whose busyFieldOf() does not exceed the
+  // field.
+  const std::uint64_t work = FlowsPerRequest * raw.BusyFlows * it.Slots;
+  const std::uint64_t idle = std::uint64_t{it.Flows} * AddedSlots;
+  if (work > idle)
+    it.BusyFlows = static_cast<std::uint16_t>((work - idle) /
+                                              (FlowsPerRequest * raw.Slots));
+  const std::uint64_t busy = busyFieldOf(it.BusyFlows, it.Flows, it.Slots);
+  const std::uint64_t code =
+      raw.BusyFlows > busy
+          ? std::min<std::uint64_t>(raw.BusyFlows - busy, MaxTimeCode)
+          : 0;
+  it.ServiceTimeMs = static_cast<std::uint16_t>(
+      std::lround(std::exp2(static_cast<double>(code) / TimeCodesPerDoubling)));
+  return it;
+}
+
 } // namespace
 
 template <typename Archive> void fields(Archive &archive, UpstreamToken &it) {
@@ -102,9 +162,12 @@
 }
 
 template <typename Archive> void fields(Archive &archive, UpstreamLoad &it) {
-  field(archive, it.BusyFlows);
-  field(archive, it.Flows);
-  field(archive, it.Slots);
+  UpstreamLoad raw = toWireFields(it);
+  field(archive, raw.BusyFlows);
+  field(archive, raw.Flows);
+  field(archive, raw.Slots);
+  if constexpr (std::is_same_v<Archive, InputArchive>)
+    it = fromWireFields(raw);
 }
 
 template <typename Archive> void fields(Archive &archive, ReturnedPacket &it) {
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -223,13 +223,27 @@
 };
 
 /// Load of an upstream as observed by its agent.
+///
+/// A process of the release before 6 December 2026 reads only the three 16-bit
+/// fields of the wire format, and computes the load per slot as (busy flows +
+/// flows / 20) / slots. A load with a service time is therefore sent as a busy
+/// upstream with 16,384 more slots: the slots field has bit 14 set, which no
+/// upstream of at most 10,000 slots has, the flows field is unchanged, and the
+/// busy field is larger, so that the quotient is the same as without the
+/// service time. The busy field then grows by 65 or more with each busy flow.
+/// What it exceeds the value for the busy flows by, 0 to 63, is 4 times the
+/// binary logarithm of the service time. An old reader sees a load per slot
+/// that is too high by less than 0.004. It gives less weight to the flows that
+/// it has placed itself since. A service time that does not fit is not sent:
+/// that of an upstream with more than 256 slots or with a load of about 4
+/// requests for each slot.
 struct UpstreamLoad {
   /// Flows with an outstanding request.
   std::uint16_t BusyFlows = 0;
   std::uint16_t Flows = 0;
   std::uint16_t Slots = 0;
   /// Mean time that a slot takes for a request, in milliseconds; 0 if the agent
-  /// does not state it.
+  /// does not state it. The wire format has steps of 19%, from 1 ms to 55 s.
   std::uint16_t ServiceTimeMs = 0;
   friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -40,6 +40,7 @@
     options.Upstream = Upstream;
     options.CallerPort = CallerPort;
     options.StartedAtMs = startedAtMs;
+    options.ReportsServiceTime = true;
     Relay = makeUpstreamRelay(options, Format);
   }
 
@@ -583,6 +584,24 @@
     relayPacket(dataPacket(caller, 501));
   }
   EXPECT_EQ(accepted, GetParam().Accepted);
+  // Guards against balancers that are told another time for a request.
+  EXPECT_EQ(Relay->load().ServiceTimeMs, GetParam().ServiceTime.count());
+}
+
+// Guards against a service time that is stated although the settings do not
+// ask for it: balancers of the previous release could be in use.
+TEST_F(UpstreamRelayTest, StatesNoServiceTimeByDefault) {
+  UpstreamRelayOptions options;
+  options.Service = "a";
+  options.Upstream = Upstream;
+  options.CallerPort = CallerPort;
+  Relay = makeUpstreamRelay(options, Format);
+  report(makeReport());
+  open(1);
+  relayPacket(dataPacket(1, 501));
+  Now += Duration(20);
+  sendFromUpstream(fromUpstream(1, false, 501, 10));
+  EXPECT_EQ(Relay->load().ServiceTimeMs, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -286,6 +286,9 @@
      "8:24: link_mbit_per_second: the value must be a number above 0"},
     {"LinkRateInModeRequests", Balancer, "", "link_mbit_per_second = 2\n",
      "6:1: unknown key 'link_mbit_per_second'"},
+    {"ReportServiceTime", RelayAgent, "", "report_service_time = true\n", ""},
+    {"ReportServiceTimeIsNumber", RelayAgent, "", "report_service_time = 1\n",
+     "15:23: report_service_time: the value must be true or false"},
     {"FoundGroupIsText", ControlWithSeeds, "true", "\"yes\"",
      "7:15: found_group: the value must be true or false"},
     {"DataCentreName", ControlWithSeeds, "dc-b", "DC b",
@@ -327,6 +330,7 @@
   ASSERT_TRUE(balancer && agent && control) << findings.format();
   EXPECT_EQ(toString(balancer->InternalListen), "10.0.0.1:7000");
   EXPECT_FALSE(balancer->LinkMbitPerSecond);
+  EXPECT_FALSE(agent->ReportsServiceTime);
   EXPECT_EQ(balancer->Placement, PlacementMode::LeastLoaded);
   EXPECT_LE(control->LeaseMs, 800U);
   EXPECT_EQ(balancer->Control[0].Port, control->Nodes.Port);
--- a/Source/UnitTests/Wire/RoundTripTest.cpp
+++ b/Source/UnitTests/Wire/RoundTripTest.cpp
@@ -53,6 +53,65 @@
   EXPECT_TRUE(encodeData(PeerLeaseQuery{name, 1, {}}, buf).ok());
 }
 
+/// The fields of a load as a process of the previous release reads them: the
+/// last six bytes of a FlowHeld.
+UpstreamLoad readAsPreviousRelease(const UpstreamLoad &load) {
+  Bytes buf;
+  EXPECT_TRUE(encodeData(FlowHeld{{}, {}, 0, load}, buf).ok());
+  const auto read = [&](std::size_t fromEnd) {
+    const std::byte *it = buf.data() + buf.size() - fromEnd;
+    return static_cast<std::uint16_t>(std::to_integer<unsigned>(it[0]) |
+                                      std::to_integer<unsigned>(it[1]) << 8);
+  };
+  return {read(6), read(4), read(2)};
+}
+
+UpstreamLoad roundTrip(const UpstreamLoad &load) {
+  Bytes buf;
+  EXPECT_TRUE(encodeData(FlowHeld{{}, {}, 0, load}, buf).ok());
+  const auto decoded = decodeData(buf);
+  EXPECT_TRUE(decoded.ok());
+  return std::get<FlowHeld>(*decoded).Load;
+}
+
+/// Load per slot as the previous release computes it.
+double loadPerSlot(const UpstreamLoad &it) {
+  return (it.BusyFlows + it.Flows * 0.05) / it.Slots;
+}
+
+// Guards against a service time that changes the order in which balancers of
+// the previous release choose upstreams, and against loads that are read
+// wrongly.
+TEST(RoundTripTest, PreviousReleaseReadsLoadsWithServiceTime) {
+  for (const std::uint16_t slots : {1, 2, 4, 5, 16, 100, 256})
+    for (const std::uint16_t busy : {0, 1, 2, 3, 7, 40, 255, 700})
+      for (const std::uint16_t flows : {0, 1, 19, 20, 21, 333, 4000, 20'000})
+        for (const std::uint16_t time : {1, 2, 3, 20, 100, 400, 2000, 55'000}) {
+          const UpstreamLoad load{busy, flows, slots, time};
+          const UpstreamLoad seen = readAsPreviousRelease(load);
+          EXPECT_GE(loadPerSlot(seen), loadPerSlot(load) - 1e-9);
+          EXPECT_LT(loadPerSlot(seen), loadPerSlot(load) + 0.004);
+          const UpstreamLoad decoded = roundTrip(load);
+          EXPECT_EQ(decoded.BusyFlows, busy);
+          EXPECT_EQ(decoded.Flows, flows);
+          EXPECT_EQ(decoded.Slots, slots);
+          if (loadPerSlot(load) < 3.9)
+            EXPECT_NEAR(decoded.ServiceTimeMs, time, 0.5 + 0.1 * time);
+          else
+            EXPECT_LE(decoded.ServiceTimeMs, time * 1.1);
+        }
+}
+
+// Guards against a load of the previous release that is taken for one with a
+// service time: its upstreams have at most 10,000 slots.
+TEST(RoundTripTest, PreviousReleaseStatesNoServiceTime) {
+  for (const std::uint16_t slots : {0, 1, 256, 257, 4096, 4097, 10'000}) {
+    const UpstreamLoad load{40'000, 20'000, slots};
+    EXPECT_EQ(readAsPreviousRelease(load), load);
+    EXPECT_EQ(roundTrip(load), load);
+  }
+}
+
 // Guards against an encoder that truncates a field that is too long instead of
 // reporting an error.
 TEST(RoundTripTest, OversizedFieldIsRejectedByEncoder) {
--- a/Source/UnitTests/Wire/SampleMessages.h
+++ b/Source/UnitTests/Wire/SampleMessages.h
@@ -66,7 +66,7 @@
       FlowQuery{ServiceNameHash{77},
                 std::vector<FlowEndpoints>(
                     MaxFlowsInQuery, {{0x64400007, 40001}, {0xC6120001, 443}})},
-      FlowsNotHeld{UpstreamLoad{1, 2, 5},
+      FlowsNotHeld{UpstreamLoad{1, 2, 5, 16},
                    std::vector<FlowNotHeld>(
                        MaxFlowsInQuery,
                        {{{0x64400007, 40001}, {0xC6120001, 443}}, false})},
