Add pistachioctl explain: where a flow would go, and why

Operators see uneven load in the agents' metrics, but not why a balancer goes on choosing an upstream. `pistachioctl explain` asks a running balancer of mode relay, at its metrics address, where a flow would go now: route, share of the weights, known holder, upstreams in order with what is believed of each and how old that is, who is left out and why, the choice, and the next one if it declines. The balancer runs the code of the real decision, sends nothing and changes nothing.

Codes: 1 no route, 2 malformed address, 4 balancer not reachable, without a table, or limit reached.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -1,5 +1,7 @@
 #include "RelayBalancer.h"
 
+#include "ExplainEndpoint.h"
+
 #include "platform/Platform.h"
 
 #include <array>
@@ -110,8 +112,13 @@
 
 absl::Status RelayBalancer::start() {
   if (Settings.Metrics.Port != 0) {
-    auto served = serveMetrics(Context, Settings.Metrics,
-                               [this] { return Registry->text(); });
+    auto served = serveMetrics(
+        Context, Settings.Metrics, [this] { return Registry->text(); },
+        makeExplainHandler(
+            [this](const FlowEndpoints &flow, TimePoint now) {
+              return Router->explain(flow, *Control->table(), now);
+            },
+            steadyNow));
     // Forwarding packets is more important than metrics: if the metrics port is
     // in use, the balancer runs without it.
     if (served.ok())
--- a/Source/Core/Admin/Admin.h
+++ b/Source/Core/Admin/Admin.h
@@ -184,6 +184,16 @@
                                              std::string secret,
                                              Duration deadline);
 
+/// Asks a balancer of mode relay what a first packet of the flow would lead to
+/// and returns the JSON document of its answer. \p balancer is the address at
+/// which the balancer serves its metrics. Returns Unavailable if no complete
+/// answer arrives within \p timeout or the balancer has made too many
+/// explanations in this second, and NotFound if the process serves no
+/// explanations.
+absl::StatusOr<std::string> readExplanation(const Endpoint &balancer,
+                                            const FlowEndpoints &flow,
+                                            Duration timeout);
+
 /// A complete routing configuration as sent by the system of an operator. It
 /// has a version number of its own.
 struct RoutingPlan {
--- a/Source/Core/Admin/AdminClient.cpp
+++ b/Source/Core/Admin/AdminClient.cpp
@@ -224,4 +224,38 @@
                                            std::move(secret), deadline);
 }
 
+absl::StatusOr<std::string> readExplanation(const Endpoint &balancer,
+                                            const FlowEndpoints &flow,
+                                            Duration timeout) {
+  const std::string target = concat("/explain?caller=", toString(flow.Caller),
+                                    "&service=", toString(flow.Service));
+  http::request<http::string_body> request(http::verb::get, target, 11);
+  request.set(http::field::host, toString(balancer));
+  request.keep_alive(false);
+  request.prepare_payload();
+  HttpExchange exchange(balancer, std::move(request));
+  if (!exchange.run(timeout))
+    return absl::UnavailableError(concat(
+        exchange.mayHaveBeenSent() ? "no complete answer from the balancer "
+                                   : "cannot reach the balancer ",
+        toString(balancer), ": ", exchange.error()));
+  const auto &answer = exchange.answer();
+  if (answer.result() == http::status::not_found)
+    return absl::NotFoundError(
+        concat(toString(balancer),
+               " serves no explanations: it is not the metrics address of a "
+               "balancer in mode relay, or its release is older"));
+  const auto object = parseObject(answer.body());
+  if (!object.ok())
+    return absl::InternalError(
+        concat(toString(balancer),
+               " sent no valid answer: ", messageOf(object.status())));
+  if (answer.result() == http::status::ok)
+    return answer.body();
+  const absl::Status error = errorFromJson(*object);
+  return absl::Status(absl::IsUnavailable(error) ? error.code()
+                                                 : absl::StatusCode::kInternal,
+                      concat(toString(balancer), ": ", messageOf(error)));
+}
+
 } // namespace pistachio
--- a/Source/Core/Ctl/Arguments.cpp
+++ b/Source/Core/Ctl/Arguments.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::string_view Program = "pistachioctl";
 constexpr std::uint32_t MaxTimeoutSeconds = 3600;
+/// Caller of the new flow that 'explain --address' asks about. The address is
+/// reserved for documentation, so that no balancer knows a flow of it.
+constexpr Endpoint ArbitraryCaller{0xC0000201, 1};
 
 struct CommandSpec {
   std::string_view Name;
@@ -42,6 +45,9 @@
      "Stop assigning new flows to an upstream.", true, true},
     {"undrain", CtlCommand::Undrain, "ID",
      "Assign new flows to an upstream again.", true, true},
+    {"explain", CtlCommand::Explain, "",
+     "Show where a balancer in mode relay would send a flow now, and why.",
+     false, false},
 };
 
 /// Prints the help and the version to the output stream of the environment.
@@ -106,6 +112,29 @@
   return std::chrono::seconds(*value);
 }
 
+/// Parses "CALLER:PORT,SERVICE:PORT".
+absl::StatusOr<FlowEndpoints> parseFlow(std::string_view text) {
+  const std::size_t comma = text.find(',');
+  if (comma == std::string_view::npos)
+    return absl::InvalidArgumentError(
+        concat("'", text, "' is not a flow CALLER:PORT,SERVICE:PORT"));
+  const auto caller = parseEndpoint(text.substr(0, comma));
+  if (!caller.ok())
+    return caller.status();
+  const auto service = parseEndpoint(text.substr(comma + 1));
+  if (!service.ok())
+    return service.status();
+  return FlowEndpoints{*caller, *service};
+}
+
+/// Returns a flow of an arbitrary caller to the service address.
+absl::StatusOr<FlowEndpoints> parseArbitraryFlow(std::string_view address) {
+  const auto service = parseEndpoint(address);
+  if (!service.ok())
+    return service.status();
+  return FlowEndpoints{ArbitraryCaller, *service};
+}
+
 const CommandSpec *findCommand(std::span<const std::string> args,
                                std::size_t &consumedArgs) {
   for (const CommandSpec &it : Commands) {
@@ -149,18 +178,28 @@
       concat("Endpoint of the administration API of a control instance; may "
              "be repeated. ",
              "Default: ", toString(DefaultAdminEndpoint)),
-      false, "A.B.C.D:PORT", commandLine);
+      false, "A.B.C.D:PORT");
   StringArg credential("", "credential-file",
                        "File whose first line is the credential of the team.",
-                       false, "", "FILE", commandLine);
+                       false, "", "FILE");
   StringArg operatorName(
       "", "operator",
       "Name of the person who requests the change. Default: the login "
       "name.",
-      false, "", "NAME", commandLine);
+      false, "", "NAME");
   StringArg reason("", "reason",
                    "Reason for the change; stored as a comment of the rule.",
-                   false, "", "TEXT", commandLine);
+                   false, "", "TEXT");
+  StringArg balancer("", "balancer",
+                     "Address at which the balancer serves its metrics.", true,
+                     "", "A.B.C.D:PORT");
+  StringArg flow("", "flow",
+                 "The flow: the caller's address and the service address.",
+                 false, "", "CALLER:PORT,SERVICE:PORT");
+  StringArg address(
+      "", "address",
+      "Service address; a new flow of an arbitrary caller is explained.", false,
+      "", "A.B.C.D:PORT");
   TCLAP::SwitchArg json("", "json", "Print the result as one JSON document.",
                         commandLine);
   StringArg timeout("", "timeout",
@@ -186,6 +225,16 @@
   TCLAP::UnlabeledValueArg<std::string> operand(
       std::string(spec->Operand), std::string(spec->Operand), true, "",
       std::string(spec->Operand));
+  if (spec->Command == CtlCommand::Explain) {
+    commandLine.add(balancer);
+    commandLine.add(flow);
+    commandLine.add(address);
+  } else {
+    commandLine.add(servers);
+    commandLine.add(credential);
+    commandLine.add(operatorName);
+    commandLine.add(reason);
+  }
   if (spec->ChangesRules) {
     commandLine.add(wait);
     commandLine.add(revision);
@@ -213,6 +262,20 @@
   result.Command = spec->Command;
   result.CommandName = spec->Name;
   result.Operand = operand.getValue();
+  if (spec->Command == CtlCommand::Explain) {
+    if (flow.isSet() == address.isSet())
+      return usageError(environment,
+                        "explain: give either --flow or --address");
+    const auto endpoint = parseEndpoint(balancer.getValue());
+    const auto endpoints = flow.isSet()
+                               ? parseFlow(flow.getValue())
+                               : parseArbitraryFlow(address.getValue());
+    for (const absl::Status &it : {endpoint.status(), endpoints.status()})
+      if (!it.ok())
+        return usageError(environment, messageOf(it));
+    result.Balancer = *endpoint;
+    result.Flow = *endpoints;
+  }
   for (const std::string &it : servers.getValue()) {
     const auto endpoint = parseEndpoint(it);
     if (!endpoint.ok())
--- a/Source/Core/Ctl/Arguments.h
+++ b/Source/Core/Ctl/Arguments.h
@@ -17,7 +17,8 @@
   DataCentreOut,
   DataCentreIn,
   Drain,
-  Undrain
+  Undrain,
+  Explain
 };
 
 struct CtlArguments {
@@ -38,6 +39,9 @@
   Duration Wait{0};
   std::optional<Revision> ExpectedRevision;
   std::optional<std::string> OperationId;
+  /// For CtlCommand::Explain only: the metrics address of a balancer.
+  Endpoint Balancer;
+  FlowEndpoints Flow;
 };
 
 /// Returns the parsed arguments. If the command line asks for help or the
--- a/Source/Core/Ctl/Ctl.cpp
+++ b/Source/Core/Ctl/Ctl.cpp
@@ -1,6 +1,7 @@
 #include "Ctl/Ctl.h"
 
 #include "Ctl/Arguments.h"
+#include "Ctl/ExplanationText.h"
 #include "Ctl/Output.h"
 #include "Rules/Rules.h"
 #include "Settings/Settings.h"
@@ -82,6 +83,8 @@
   CtlExitCode dispatch() {
     if (Args.Command == CtlCommand::Check)
       return check();
+    if (Args.Command == CtlCommand::Explain)
+      return explain();
     Findings findings;
     const auto secret = loadCredential(Args.CredentialFile, findings);
     if (!secret) {
@@ -420,6 +423,38 @@
     return CtlExitCode::Done;
   }
 
+  CtlExitCode explain() {
+    const auto answer =
+        Environment.explain(Args.Balancer, Args.Flow, Args.Timeout);
+    if (!answer.ok())
+      return reportError(answer.status());
+    boost::system::error_code ec;
+    const boost::json::value document = boost::json::parse(*answer, ec);
+    const boost::json::object *explanation =
+        ec ? nullptr : document.if_object();
+    const boost::json::value *reason =
+        explanation == nullptr ? nullptr : explanation->if_contains("reason");
+    if (reason == nullptr || !reason->is_string()) {
+      Out.printMessage(
+          concat(toString(Args.Balancer), " sent no valid explanation"));
+      return CtlExitCode::Refused;
+    }
+    Out.setField("explanation", document);
+    if (reason->get_string() == "no-table") {
+      Out.printMessage(concat("the balancer ", toString(Args.Balancer),
+                              " has no table yet"));
+      return CtlExitCode::NotReachable;
+    }
+    if (reason->get_string() == "no-route") {
+      Out.printMessage(concat("the balancer ", toString(Args.Balancer),
+                              " has no route for the service address ",
+                              toString(Args.Flow.Service)));
+      return CtlExitCode::Refused;
+    }
+    Out.printText(formatExplanation(*explanation));
+    return CtlExitCode::Done;
+  }
+
   CtlArguments Args;
   CtlEnvironment &Environment;
   Output Out;
--- a/Source/Core/Ctl/Ctl.h
+++ b/Source/Core/Ctl/Ctl.h
@@ -23,8 +23,9 @@
   Usage = 2,
   /// The change was made against an outdated revision of the rules.
   Conflict = 3,
-  /// No control instance can be reached, or a balancer did not report an
-  /// accepted change as in force within the waiting time.
+  /// No control instance or the balancer to ask can be reached, the balancer
+  /// has no table, or a balancer did not report an accepted change as in force
+  /// within the waiting time.
   NotReachable = 4,
   /// It is unknown whether the change was made. Resending it with the same
   /// operation id is safe.
@@ -41,6 +42,10 @@
   virtual std::unique_ptr<AdminClient> makeClient(std::vector<Endpoint> servers,
                                                   std::string secret,
                                                   Duration deadline) = 0;
+  /// See readExplanation() of Admin.
+  virtual absl::StatusOr<std::string> explain(const Endpoint &balancer,
+                                              const FlowEndpoints &flow,
+                                              Duration timeout) = 0;
   virtual TimePoint now() = 0;
   virtual void sleep(Duration time) = 0;
   /// Returns a new unique id of at most MaxOperationIdBytes printable ASCII
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -72,6 +72,16 @@
   std::size_t FirstRound = 0;
 };
 
+/// What is known of the upstream to which a first packet of a known flow goes.
+enum class HolderState : std::uint8_t {
+  /// There is none, or the route sends no new flows to its service.
+  None,
+  /// It holds the flow, or may still confirm that it does.
+  Answering,
+  /// It has not confirmed the flow in time.
+  Silent
+};
+
 /// Returns whether the packet acknowledges data of the connection that this
 /// holder's upstream has accepted.
 bool acceptedBy(const Holder &holder, const FlowPacket &packet) {
@@ -143,6 +153,8 @@
                                  const Endpoint &agent,
                                  const ServiceTable &table,
                                  TimePoint now) override;
+  FlowExplanation explain(const FlowEndpoints &flow, const ServiceTable &table,
+                          TimePoint now) const override;
   std::optional<HolderConfirmation> onFlowHeld(const FlowHeld &message,
                                                const Endpoint &agent,
                                                TimePoint now) override;
@@ -173,7 +185,19 @@
                           const RouteRecord &route, const ServiceTable &table,
                           TimePoint now);
   RelayDecision deferFirstPacket(FlowEntry &entry, const FlowEndpoints &flow,
-                                 const Service &service, TimePoint now);
+                                 std::span<const RankedMember> members,
+                                 TimePoint now);
+  HolderState holderStateOf(const FlowEntry &entry, const RouteRecord &route,
+                            const ServiceTable &table, TimePoint now) const;
+  /// Returns whether a first packet waits if none of \p members can be chosen.
+  bool isDeferrable(std::span<const RankedMember> members,
+                    TimePoint deferredSince, TimePoint now) const;
+  void explainPlacement(const Service &service, const ServiceTable &table,
+                        const FlowEntry &entry, bool isHolderSilent,
+                        TimePoint now, FlowExplanation &out) const;
+  ExplainedUpstream explainUpstream(const ServiceMember &member,
+                                    const ServiceTable &table,
+                                    TimePoint now) const;
   /// Starts or resumes the search for the holder of a flow.
   RelayDecision search(FlowEntry &entry, const FlowEndpoints &flow,
                        const RouteRecord &route, const ServiceTable &table,
@@ -346,16 +370,27 @@
   if (!entry.Confirmed && !entry.ResolvingSince)
     entry.ResolvingSince = now;
   resolveServices(entry, route, table);
-  if (entry.Current.Agent.Port != 0 &&
-      takesNewFlows(entry.Current, route, table)) {
-    if (entry.Confirmed || now - entry.ForwardedAt < Options.AnswerTimeout)
-      return forwardDecision(entry, RelayReason::Held);
+  const HolderState holder = holderStateOf(entry, route, table, now);
+  if (holder == HolderState::Answering)
+    return forwardDecision(entry, RelayReason::Held);
+  if (holder == HolderState::Silent)
     recordTimeout(entry.Current.Agent, now);
-  }
   entry.Attempt = 0;
   return placeFlow(entry, flow, route, table, now);
 }
 
+HolderState FlowRouterImpl::holderStateOf(const FlowEntry &entry,
+                                          const RouteRecord &route,
+                                          const ServiceTable &table,
+                                          TimePoint now) const {
+  if (entry.Current.Agent.Port == 0 ||
+      !takesNewFlows(entry.Current, route, table))
+    return HolderState::None;
+  return entry.Confirmed || now - entry.ForwardedAt < Options.AnswerTimeout
+             ? HolderState::Answering
+             : HolderState::Silent;
+}
+
 const RouteShare *FlowRouterImpl::chooseShare(const FlowEndpoints &flow,
                                               const RouteRecord &route) {
   std::uint64_t total = 0;
@@ -383,11 +418,12 @@
   if (service == nullptr)
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
-  const ServiceMember *best = Policy->choose(
-      flow, rankMembers(flow, service->members(), {}, localDataCentre),
-      localDataCentre, Agents, now);
+  const std::vector<RankedMember> members =
+      rankMembers(flow, service->members(), {}, localDataCentre);
+  const ServiceMember *best =
+      Policy->choose(flow, members, localDataCentre, Agents, now);
   if (best == nullptr)
-    return deferFirstPacket(entry, flow, *service, now);
+    return deferFirstPacket(entry, flow, members, now);
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
     entry.Alternate = entry.Current;
   entry.Current = {best->Address, 0, hashServiceName(service->name()), now};
@@ -401,25 +437,163 @@
 
 /// Defers the first packet if an upstream should accept it soon, and resets the
 /// flow otherwise.
-RelayDecision FlowRouterImpl::deferFirstPacket(FlowEntry &entry,
-                                               const FlowEndpoints &flow,
-                                               const Service &service,
-                                               TimePoint now) {
+RelayDecision
+FlowRouterImpl::deferFirstPacket(FlowEntry &entry, const FlowEndpoints &flow,
+                                 std::span<const RankedMember> members,
+                                 TimePoint now) {
   entry.Current = {};
   if (!entry.DeferredSince)
     entry.DeferredSince = now;
-  const TimePoint end = *entry.DeferredSince + Options.MaxDeferral;
-  const bool isFreeInTime =
-      std::ranges::any_of(service.members(), [&](const ServiceMember &it) {
-        const AgentStatus *status = Agents.find(it.Address);
-        return it.State == CandidateState::Accepting && status != nullptr &&
-               std::max(status->AvoidUntil, status->SilentUntil) < end;
-      });
-  if (!isFreeInTime || now >= end)
+  if (!isDeferrable(members, *entry.DeferredSince, now))
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
   return {.Action = RelayAction::Defer, .Reason = RelayReason::Busy};
 }
 
+bool FlowRouterImpl::isDeferrable(std::span<const RankedMember> members,
+                                  TimePoint deferredSince,
+                                  TimePoint now) const {
+  const TimePoint end = deferredSince + Options.MaxDeferral;
+  return now < end && std::ranges::any_of(members, [&](const RankedMember &it) {
+           const AgentStatus *status = Agents.find(it.Member->Address);
+           return it.Member->State == CandidateState::Accepting &&
+                  status != nullptr &&
+                  std::max(status->AvoidUntil, status->SilentUntil) < end;
+         });
+}
+
+FlowExplanation FlowRouterImpl::explain(const FlowEndpoints &flow,
+                                        const ServiceTable &table,
+                                        TimePoint now) const {
+  FlowExplanation out;
+  out.Flow = flow;
+  out.TableRevision = table.revision();
+  out.Placement = Options.Placement;
+  if (table.routeCount() == 0)
+    return out;
+  const RouteRecord *route = table.findRoute(flow.Service);
+  if (route == nullptr) {
+    out.Action = RelayAction::Reset;
+    out.Reason = RelayReason::NoRoute;
+    return out;
+  }
+  const RouteShare *share = chooseShare(flow, *route);
+  const Service *service =
+      share == nullptr ? nullptr : table.find(share->Service);
+  if (service != nullptr) {
+    out.Share = {service->name(), share->Weight, 0};
+    for (const RouteShare &it : route->Shares)
+      out.Share->TotalWeight += it.Weight;
+  }
+  FlowEntry entry;
+  if (const auto it = Flows.find(flow); it != Flows.end())
+    entry = it->second;
+  resolveServices(entry, *route, table);
+  out.IsSearching = entry.Searching;
+  if (entry.Current.Agent.Port != 0)
+    out.Holder = {entry.Current.Agent, now - entry.Current.Since,
+                  entry.Confirmed};
+  const HolderState holder = holderStateOf(entry, *route, table, now);
+  if (holder == HolderState::Answering) {
+    out.Action = RelayAction::Forward;
+    out.Reason = RelayReason::Held;
+    out.Agent = entry.Current.Agent;
+    return out;
+  }
+  out.Action = RelayAction::Reset;
+  out.Reason = RelayReason::NoUpstream;
+  if (service != nullptr)
+    explainPlacement(*service, table, entry, holder == HolderState::Silent, now,
+                     out);
+  return out;
+}
+
+void FlowRouterImpl::explainPlacement(const Service &service,
+                                      const ServiceTable &table,
+                                      const FlowEntry &entry,
+                                      bool isHolderSilent, TimePoint now,
+                                      FlowExplanation &out) const {
+  const DataCentreId local = table.findDataCentre(Options.DataCentre);
+  std::vector<RankedMember> members =
+      rankMembers(out.Flow, service.members(), {}, local);
+  // Copies of the members that get no offer: a silent holder, and the choice
+  // once it has declined.
+  std::deque<ServiceMember> leftOut;
+  const auto leaveOut = [&](const Endpoint &agent) {
+    for (RankedMember &it : members)
+      if (it.Member->Address == agent) {
+        leftOut.push_back(*it.Member);
+        leftOut.back().State = CandidateState::Suspect;
+        it.Member = &leftOut.back();
+      }
+  };
+  if (isHolderSilent)
+    leaveOut(entry.Current.Agent);
+  const auto loads = Policy->comparedLoads(members, local, Agents, now);
+  const auto withdrawn = table.withdrawnMembers(service.id());
+  out.UpstreamCount = members.size() + withdrawn.size();
+  for (std::size_t i = 0;
+       i < std::min(members.size(), FlowExplanation::MaxUpstreams); ++i) {
+    ExplainedUpstream it = explainUpstream(*members[i].Member, table, now);
+    it.Tier = members[i].Tier;
+    it.Load = loads[i];
+    if (isHolderSilent && it.Agent == entry.Current.Agent) {
+      it.State = OfferState::Silent;
+      it.StateEndsIn = Options.UnresponsivePenalty;
+    } else if (it.State == OfferState::Eligible && !it.Load) {
+      it.State = OfferState::LaterTier;
+    }
+    out.Upstreams.push_back(std::move(it));
+  }
+  for (const ServiceMember &member : withdrawn) {
+    if (out.Upstreams.size() >= FlowExplanation::MaxUpstreams)
+      break;
+    ExplainedUpstream it = explainUpstream(member, table, now);
+    it.State = OfferState::DataCentreOut;
+    out.Upstreams.push_back(std::move(it));
+  }
+  const ServiceMember *best =
+      Policy->choose(out.Flow, members, local, Agents, now);
+  if (best == nullptr) {
+    if (isDeferrable(members, entry.DeferredSince.value_or(now), now)) {
+      out.Action = RelayAction::Defer;
+      out.Reason = RelayReason::Busy;
+    }
+    return;
+  }
+  out.Action = RelayAction::Forward;
+  out.Reason = RelayReason::Placed;
+  out.Agent = best->Address;
+  leaveOut(best->Address);
+  const ServiceMember *next =
+      Policy->choose(out.Flow, members, local, Agents, now);
+  if (next != nullptr)
+    out.NextAgent = next->Address;
+}
+
+ExplainedUpstream FlowRouterImpl::explainUpstream(const ServiceMember &member,
+                                                  const ServiceTable &table,
+                                                  TimePoint now) const {
+  const AgentStatus *status = Agents.find(member.Address);
+  ExplainedUpstream out;
+  out.Id = member.Id;
+  out.Agent = member.Address;
+  out.DataCentre = table.dataCentreName(member.DataCentre);
+  out.IsLocal = member.DataCentre == table.findDataCentre(Options.DataCentre);
+  out.State = offerStateOf(member, status, now);
+  if (status == nullptr)
+    return out;
+  if (out.State == OfferState::Silent)
+    out.StateEndsIn = status->SilentUntil - now;
+  if (out.State == OfferState::Declined)
+    out.StateEndsIn = status->AvoidUntil - now;
+  out.PlacedSinceReport = status->PlacedSinceReport;
+  if (status->ReportedAt) {
+    out.Report = status->Load;
+    out.ReportAge = now - *status->ReportedAt;
+  }
+  return out;
+}
+
 SearchCandidates FlowRouterImpl::candidates(const FlowEndpoints &flow,
                                             const RouteRecord &route,
                                             const ServiceTable &table,
@@ -764,6 +938,46 @@
   return concat(toString(flow.Caller), ">", toString(flow.Service));
 }
 
+std::string_view nameOf(PlacementKind kind) {
+  return kind == PlacementKind::ExpectedWait ? "expected-wait" : "least-loaded";
+}
+
+std::string_view nameOf(OfferState state) {
+  switch (state) {
+  case OfferState::Eligible:
+    return "eligible";
+  case OfferState::Draining:
+    return "draining";
+  case OfferState::Suspect:
+    return "suspect";
+  case OfferState::Silent:
+    return "silent";
+  case OfferState::Declined:
+    return "declined";
+  case OfferState::DataCentreOut:
+    return "data-centre-out";
+  case OfferState::LaterTier:
+    return "later-tier";
+  }
+  return "other";
+}
+
+std::string_view nameOf(RelayAction action) {
+  switch (action) {
+  case RelayAction::Forward:
+    return "forward";
+  case RelayAction::Reset:
+    return "reset";
+  case RelayAction::Drop:
+    return "drop";
+  case RelayAction::Defer:
+    return "defer";
+  case RelayAction::Query:
+    return "query";
+  }
+  return "other";
+}
+
 std::string_view nameOf(RelayReason reason) {
   switch (reason) {
   case RelayReason::Held:
--- a/Source/Core/Relay/PlacementPolicy.cpp
+++ b/Source/Core/Relay/PlacementPolicy.cpp
@@ -44,13 +44,6 @@
 /// load still counts.
 constexpr double MaxCreditIntervals = 3;
 
-bool isEligible(const ServiceMember &member, const AgentStatus *status,
-                TimePoint now) {
-  return member.State == CandidateState::Accepting &&
-         (status == nullptr ||
-          (now >= status->AvoidUntil && now >= status->SilentUntil));
-}
-
 /// Calls \p visit for each eligible candidate of the first tiers that have one.
 template <typename Visit>
 void visitEligible(std::span<const RankedMember> candidates,
@@ -66,10 +59,10 @@
       lastTier = 2 * lastTier + 2;
     }
     const AgentStatus *status = agents.find(it.Member->Address);
-    if (!isEligible(*it.Member, status, now))
+    if (offerStateOf(*it.Member, status, now) != OfferState::Eligible)
       continue;
     found = true;
-    visit(*it.Member, status);
+    visit(it, status);
   }
 }
 
@@ -81,6 +74,10 @@
                               DataCentreId localDataCentre,
                               const AgentLoads &agents,
                               TimePoint now) const override;
+  std::vector<std::optional<double>>
+  comparedLoads(std::span<const RankedMember> candidates,
+                DataCentreId localDataCentre, const AgentLoads &agents,
+                TimePoint now) const override;
 
 private:
   static double loadOf(const AgentStatus *status, bool isRemote);
@@ -104,17 +101,29 @@
   const ServiceMember *best = nullptr;
   double bestLoad = 0;
   visitEligible(candidates, agents, now,
-                [&](const ServiceMember &member, const AgentStatus *status) {
+                [&](const RankedMember &it, const AgentStatus *status) {
                   const double load =
-                      loadOf(status, member.DataCentre != localDataCentre);
+                      loadOf(status, it.Member->DataCentre != localDataCentre);
                   if (best == nullptr || load < bestLoad) {
-                    best = &member;
+                    best = it.Member;
                     bestLoad = load;
                   }
                 });
   return best;
 }
 
+std::vector<std::optional<double>> LeastLoadedPolicy::comparedLoads(
+    std::span<const RankedMember> candidates, DataCentreId localDataCentre,
+    const AgentLoads &agents, TimePoint now) const {
+  std::vector<std::optional<double>> loads(candidates.size());
+  visitEligible(candidates, agents, now,
+                [&](const RankedMember &it, const AgentStatus *status) {
+                  loads[static_cast<std::size_t>(&it - candidates.data())] =
+                      loadOf(status, it.Member->DataCentre != localDataCentre);
+                });
+  return loads;
+}
+
 /// What is expected of one candidate.
 struct Estimate {
   const ServiceMember *Member = nullptr;
@@ -162,10 +171,18 @@
                               DataCentreId localDataCentre,
                               const AgentLoads &agents,
                               TimePoint now) const override;
+  std::vector<std::optional<double>>
+  comparedLoads(std::span<const RankedMember> candidates,
+                DataCentreId localDataCentre, const AgentLoads &agents,
+                TimePoint now) const override;
 
 private:
   using Estimates = absl::InlinedVector<Estimate, MaxMembersOfOneChoice>;
 
+  /// Adds the estimates for the eligible candidates, in their order.
+  static void estimate(std::span<const RankedMember> candidates,
+                       DataCentreId localDataCentre, const AgentLoads &agents,
+                       TimePoint now, Estimates &estimates);
   static void readStatus(const AgentStatus &status, TimePoint now,
                          Estimate &it);
   /// Sets slots and service times that are not known to the mean of the others.
@@ -302,31 +319,70 @@
   return best.Member;
 }
 
-const ServiceMember *
-ExpectedWaitPolicy::choose(const FlowEndpoints &flow,
-                           std::span<const RankedMember> candidates,
-                           DataCentreId localDataCentre,
-                           const AgentLoads &agents, TimePoint now) const {
-  Estimates estimates;
+void ExpectedWaitPolicy::estimate(std::span<const RankedMember> candidates,
+                                  DataCentreId localDataCentre,
+                                  const AgentLoads &agents, TimePoint now,
+                                  Estimates &estimates) {
   visitEligible(candidates, agents, now,
-                [&](const ServiceMember &member, const AgentStatus *status) {
+                [&](const RankedMember &member, const AgentStatus *status) {
                   Estimate &it = estimates.emplace_back();
-                  it.Member = &member;
-                  it.IsRemote = member.DataCentre != localDataCentre;
+                  it.Member = member.Member;
+                  it.IsRemote = member.Member->DataCentre != localDataCentre;
                   if (status != nullptr)
                     readStatus(*status, now, it);
                 });
-  if (estimates.empty())
-    return nullptr;
   completeCapacities(estimates);
   expectLoads(estimates);
   addRemotePenalty(estimates);
   subtractCredit(estimates);
-  return pick(estimates, flow);
+}
+
+const ServiceMember *
+ExpectedWaitPolicy::choose(const FlowEndpoints &flow,
+                           std::span<const RankedMember> candidates,
+                           DataCentreId localDataCentre,
+                           const AgentLoads &agents, TimePoint now) const {
+  Estimates estimates;
+  estimate(candidates, localDataCentre, agents, now, estimates);
+  return estimates.empty() ? nullptr : pick(estimates, flow);
+}
+
+std::vector<std::optional<double>> ExpectedWaitPolicy::comparedLoads(
+    std::span<const RankedMember> candidates, DataCentreId localDataCentre,
+    const AgentLoads &agents, TimePoint now) const {
+  Estimates estimates;
+  estimate(candidates, localDataCentre, agents, now, estimates);
+  std::vector<std::optional<double>> loads;
+  const Estimate *next = estimates.begin();
+  for (const RankedMember &it : candidates) {
+    const bool isEstimated =
+        next != estimates.end() && next->Member == it.Member;
+    loads.push_back(isEstimated ? std::optional(next->Load) : std::nullopt);
+    next += isEstimated ? 1 : 0;
+  }
+  return loads;
 }
 
 } // namespace
 
+std::vector<std::optional<double>> PlacementPolicy::comparedLoads(
+    std::span<const RankedMember> candidates, DataCentreId /*localDataCentre*/,
+    const AgentLoads & /*agents*/, TimePoint /*now*/) const {
+  return std::vector<std::optional<double>>(candidates.size());
+}
+
+OfferState offerStateOf(const ServiceMember &member, const AgentStatus *status,
+                        TimePoint now) {
+  if (member.State != CandidateState::Accepting)
+    return member.State == CandidateState::Draining ? OfferState::Draining
+                                                    : OfferState::Suspect;
+  if (status == nullptr ||
+      (now >= status->AvoidUntil && now >= status->SilentUntil))
+    return OfferState::Eligible;
+  return status->SilentUntil >= status->AvoidUntil ? OfferState::Silent
+                                                   : OfferState::Declined;
+}
+
 std::unique_ptr<PlacementPolicy> makePlacementPolicy(PlacementKind kind,
                                                      std::uint64_t seed) {
   if (kind == PlacementKind::ExpectedWait)
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -114,6 +114,7 @@
   Max = LinkFull
 };
 
+std::string_view nameOf(RelayAction action);
 std::string_view nameOf(RelayReason reason);
 
 /// An agent that is asked whether its upstream holds a flow.
@@ -159,6 +160,9 @@
   ExpectedWait
 };
 
+/// Returns the name of the balancer's setting "placement".
+std::string_view nameOf(PlacementKind kind);
+
 struct FlowRouterOptions {
   /// New flows prefer upstreams in the balancer's own data centre.
   std::string DataCentre;
@@ -239,6 +243,83 @@
   RelayDecision Decision;
 };
 
+/// Whether an upstream may be chosen for a new flow, and why not.
+enum class OfferState : std::uint8_t {
+  Eligible,
+  Draining,
+  /// Control suspects that the upstream has failed.
+  Suspect,
+  /// Its agent has not answered in time.
+  Silent,
+  /// Its agent has declined a flow.
+  Declined,
+  DataCentreOut,
+  /// An upstream of an earlier tier is eligible.
+  LaterTier,
+  Max = LaterTier
+};
+
+std::string_view nameOf(OfferState state);
+
+/// What a balancer knows of an upstream when it places a flow.
+struct ExplainedUpstream {
+  UpstreamId Id;
+  Endpoint Agent;
+  std::string DataCentre;
+  bool IsLocal = false;
+  /// Not set for an upstream that takes no part in the ranking because its data
+  /// centre is out.
+  std::optional<std::uint32_t> Tier;
+  OfferState State = OfferState::Eligible;
+  /// Remaining time of the states Silent and Declined.
+  Duration StateEndsIn{0};
+  /// The latest report, and its age. Not set if the agent has sent none.
+  std::optional<UpstreamLoad> Report;
+  Duration ReportAge{0};
+  /// Flows that this balancer has placed on the agent since the report.
+  std::uint32_t PlacedSinceReport = 0;
+  /// The figure by which the upstreams are compared. Not set for those that are
+  /// left out.
+  std::optional<double> Load;
+};
+
+/// What a first packet of a flow would lead to, and why.
+struct FlowExplanation {
+  struct ChosenShare {
+    std::string Service;
+    std::uint64_t Weight = 0;
+    std::uint64_t TotalWeight = 0;
+  };
+  struct KnownHolder {
+    Endpoint Agent;
+    Duration Age{0};
+    bool IsConfirmed = false;
+  };
+
+  /// Further upstreams are counted but not listed, so that an explanation is
+  /// small at any size of a service.
+  static constexpr std::size_t MaxUpstreams = 1000;
+
+  FlowEndpoints Flow;
+  Revision TableRevision;
+  PlacementKind Placement = PlacementKind::LeastLoaded;
+  RelayAction Action = RelayAction::Drop;
+  RelayReason Reason = RelayReason::NoTable;
+  /// The agent that gets the packet. Set for RelayAction::Forward.
+  std::optional<Endpoint> Agent;
+  /// The share that the weights of the route choose for this flow.
+  std::optional<ChosenShare> Share;
+  std::optional<KnownHolder> Holder;
+  bool IsSearching = false;
+  /// Upstreams of the service in the order in which they are considered, then
+  /// those whose data centre is out. Empty if the packet goes to the holder.
+  std::vector<ExplainedUpstream> Upstreams;
+  std::size_t UpstreamCount = 0;
+  /// The agent that is chosen if Agent declines the flow. Not set if none
+  /// remains.
+  std::optional<Endpoint> NextAgent;
+};
+
 /// Finds the agent for each packet from a caller. The router remembers the
 /// holders of flows that it placed or found. For other flows it queries the
 /// agents of the route in an order that depends on the hash of the flow and the
@@ -258,6 +339,12 @@
                                          const Endpoint &agent,
                                          const ServiceTable &table,
                                          TimePoint now) = 0;
+  /// Returns the decision on a first packet of the flow, with its reasons, and
+  /// changes nothing. If the flow is known, the packet counts as a repeat of
+  /// its first packet.
+  virtual FlowExplanation explain(const FlowEndpoints &flow,
+                                  const ServiceTable &table,
+                                  TimePoint now) const = 0;
   /// Returns how long the placement or search took, or nullopt if the holder
   /// was already confirmed.
   virtual std::optional<HolderConfirmation>
--- a/Source/Core/Routing/Routing.h
+++ b/Source/Core/Routing/Routing.h
@@ -119,6 +119,8 @@
   withdrawnMembers(ServiceId id) const = 0;
   /// Returns an id of 0 if the name is unknown.
   virtual DataCentreId findDataCentre(std::string_view name) const = 0;
+  /// Returns an empty text if the id is unknown.
+  virtual std::string_view dataCentreName(DataCentreId id) const = 0;
   virtual std::span<const BalancerRecord> balancers() const = 0;
   virtual std::size_t serviceCount() const = 0;
   virtual std::size_t upstreamCount() const = 0;
--- a/Source/Core/Routing/TableReplica.cpp
+++ b/Source/Core/Routing/TableReplica.cpp
@@ -129,6 +129,12 @@
     const auto it = DataCentres.find(name);
     return it == DataCentres.end() ? DataCentreId{} : it->second;
   }
+  std::string_view dataCentreName(DataCentreId id) const override {
+    for (const auto &[name, it] : DataCentres)
+      if (it == id)
+        return name;
+    return {};
+  }
   std::span<const BalancerRecord> balancers() const override {
     return *Balancers;
   }
--- a/Source/Core/Runtime/HttpServer.cpp
+++ b/Source/Core/Runtime/HttpServer.cpp
@@ -223,12 +223,14 @@
 
 absl::StatusOr<std::unique_ptr<HttpServer>>
 serveMetrics(boost::asio::io_context &context, const Endpoint &local,
-             std::function<std::string()> text) {
+             std::function<std::string()> text, HttpHandler otherPaths) {
   return listenHttp(
       context, local,
-      [text = std::move(text)](
+      [text = std::move(text), otherPaths = std::move(otherPaths)](
           const HttpServerRequest &serverRequest,
           const std::function<void(HttpServerResponse)> &reply) {
+        if (serverRequest.Target != "/metrics" && otherPaths)
+          return otherPaths(serverRequest, reply);
         if (serverRequest.Target != "/metrics")
           return reply({404, "{\"error\":\"only /metrics is served\"}"});
         if (serverRequest.Method != "GET")
--- a/Source/Core/Runtime/Runtime.h
+++ b/Source/Core/Runtime/Runtime.h
@@ -201,10 +201,11 @@
            HttpHandler handler);
 
 /// Serves GET /metrics. \p text produces the response body; it is called on the
-/// thread of the io_context.
+/// thread of the io_context. \p otherPaths handles the requests for all other
+/// paths; without it they are answered with 404.
 absl::StatusOr<std::unique_ptr<HttpServer>>
 serveMetrics(boost::asio::io_context &context, const Endpoint &local,
-             std::function<std::string()> text);
+             std::function<std::string()> text, HttpHandler otherPaths = {});
 
 /// Watches a file. It invokes a callback when the file has been written or
 /// replaced, which it checks every 2 seconds, and when the process receives
--- a/Source/Ctl/Main.cpp
+++ b/Source/Ctl/Main.cpp
@@ -20,6 +20,12 @@
     return makeAdminClient(std::move(servers), std::move(secret), deadline);
   }
 
+  absl::StatusOr<std::string> explain(const Endpoint &balancer,
+                                      const FlowEndpoints &flow,
+                                      Duration timeout) override {
+    return readExplanation(balancer, flow, timeout);
+  }
+
   TimePoint now() override {
     return std::chrono::time_point_cast<Duration>(
         std::chrono::steady_clock::now());
--- a/Source/UnitTests/Ctl/CtlTest.cpp
+++ b/Source/UnitTests/Ctl/CtlTest.cpp
@@ -1,5 +1,6 @@
 #include "Ctl/Ctl.h"
 
+#include "Balancer/SampleExplanation.h"
 #include "Fakes/FakeAdminBackend.h"
 
 #include <algorithm>
@@ -33,6 +34,13 @@
     return makeAdminClient(std::move(servers), std::move(secret),
                            Duration(20'000));
   }
+  absl::StatusOr<std::string> explain(const Endpoint &balancer,
+                                      const FlowEndpoints &flow,
+                                      Duration) override {
+    Explained = concat(toString(balancer), " ", toString(flow.Caller), ">",
+                       toString(flow.Service));
+    return Explanation;
+  }
   TimePoint now() override { return Now; }
   void sleep(Duration time) override { Now += time; }
   std::string newOperationId() override {
@@ -43,6 +51,9 @@
 
   std::ostringstream Out;
   std::ostringstream Err;
+  absl::StatusOr<std::string> Explanation = std::string(SampleExplanation);
+  /// The balancer and the flow of the latest explain().
+  std::string Explained;
   bool ConfirmAnswer = false;
   TimePoint Now;
   int LastOperationId = 0;
@@ -345,6 +356,92 @@
   }
 }
 
+struct ExplainCase {
+  std::string_view Name;
+  absl::StatusOr<std::string> Answer;
+  CtlExitCode Code;
+  std::string_view Out;
+  std::string_view Err;
+};
+
+class CtlExplainTest : public CtlTestBase,
+                       public testing::WithParamInterface<ExplainCase> {};
+
+// Guards against an answer that is shown wrongly or stops the command, and
+// against a failure that ends with the exit code of success.
+TEST_P(CtlExplainTest, PrintsTextAndDocument) {
+  for (const bool json : {false, true}) {
+    TestEnvironment environment;
+    environment.Explanation = GetParam().Answer;
+    EXPECT_EQ(run(concat("explain --balancer 9.8.7.6:5 --address 1.2.3.4:1",
+                         json ? " --json" : ""),
+                  environment),
+              GetParam().Code);
+    EXPECT_EQ(environment.Explained, "9.8.7.6:5 192.0.2.1:1>1.2.3.4:1");
+    if (json) {
+      boost::system::error_code ec;
+      const auto document = boost::json::parse(environment.Out.str(), ec);
+      ASSERT_FALSE(ec) << environment.Out.str();
+      EXPECT_TRUE(document.as_object().contains("result"));
+      EXPECT_EQ(environment.Err.str(), "");
+      continue;
+    }
+    EXPECT_EQ(environment.Out.str(), GetParam().Out);
+    EXPECT_NE(environment.Err.str().find(GetParam().Err), std::string::npos)
+        << environment.Err.str();
+  }
+}
+
+const ExplainCase ExplainCases[] = {
+    {"Placed", std::string(SampleExplanation), CtlExitCode::Done,
+     "flow 1.2.3.4:5>1.2.3.4:1, table revision 7\n"
+     "route: service a, weight 3 of 4\n"
+     "holder: none known; a later packet of an open flow starts a search\n"
+     "decision: offered to 10.0.0.1:7000 by the placement least-loaded; if it "
+     "declines, to 10.0.0.2:7000\n"
+     "\n"
+     "  UPSTREAM  AGENT          DATA CENTRE  TIER  BUSY  OPEN  SLOTS  PLACED  "
+     "REPORT AGE  LOAD  STATE\n"
+     "  1         10.0.0.1:7000  x (local)    0     1     9     4      1       "
+     "120 ms      0.25  chosen\n"
+     "  2         10.0.0.2:7000  y            0     -     -     -      0       "
+     "none        1.25  next\n"
+     "  3         10.0.0.3:7000  x (local)    -     -     -     -      0       "
+     "none        -     silent, 800 ms left\n"
+     "  the first 3 of 9 upstreams\n",
+     ""},
+    {"Held",
+     R"({"reason":"held","agent":"A","holder":{"ageMs":5,"agent":"A"}})",
+     CtlExitCode::Done,
+     "flow ->-, table revision -\nroute: its weights choose no service\n"
+     "holder: A, since 5 ms, not confirmed\n"
+     "decision: forwarded to the holder A\n",
+     ""},
+    {"WrongTypes", R"({"reason":"x","upstreams":[1],"flow":[],"holder":1})",
+     CtlExitCode::Done,
+     "flow ->-, table revision -\nroute: its weights choose no service\n"
+     "holder: none known; a later packet of an open flow starts a search\n"
+     "decision: -, x\n\n"
+     "  UPSTREAM  AGENT  DATA CENTRE  TIER  BUSY  OPEN  SLOTS  PLACED  "
+     "REPORT AGE  LOAD  STATE\n",
+     ""},
+    {"NoRoute", R"({"reason":"no-route"})", CtlExitCode::Refused, "",
+     "has no route for the service address 1.2.3.4:1"},
+    {"NoTable", R"({"reason":"no-table"})", CtlExitCode::NotReachable, "",
+     "has no table"},
+    {"NotJson", "{", CtlExitCode::Refused, "", "sent no valid explanation"},
+    {"NoReason", "[]", CtlExitCode::Refused, "", "sent no valid explanation"},
+    {"Unreachable", absl::UnavailableError("cannot reach it"),
+     CtlExitCode::NotReachable, "", "cannot reach it"},
+    {"OtherDaemon", absl::NotFoundError("no explanations"),
+     CtlExitCode::Refused, "", "no explanations"},
+};
+
+INSTANTIATE_TEST_SUITE_P(All, CtlExplainTest, testing::ValuesIn(ExplainCases),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 struct UsageCase {
   const char *Line;
   CtlExitCode Code;
@@ -394,6 +491,21 @@
     {"dc out --help", CtlExitCode::Done, "usage: pistachioctl dc out NAME", ""},
     {"dc in --help", CtlExitCode::Done, "--wait <SECONDS>", ""},
     {"drain --help", CtlExitCode::Done, "usage: pistachioctl drain ID", ""},
+    {"explain --balancer 1.2.3.4:5", CtlExitCode::Usage, "",
+     "give either --flow or --address"},
+    {"explain --balancer 1.2.3.4:5 --flow 1.2.3.4:5,1.2.3.4:1 --address "
+     "1.2.3.4:1",
+     CtlExitCode::Usage, "", "give either --flow or --address"},
+    {"explain --address 1.2.3.4:1", CtlExitCode::Usage, "", "balancer"},
+    {"explain --balancer 1.2.3.4 --address 1.2.3.4:1", CtlExitCode::Usage, "",
+     "'1.2.3.4' is not an IPv4 endpoint"},
+    {"explain --balancer 1.2.3.4:5 --address 1.2.3:1", CtlExitCode::Usage, "",
+     "'1.2.3:1' is not an IPv4 endpoint"},
+    {"explain --balancer 1.2.3.4:5 --flow 1.2.3.4:5", CtlExitCode::Usage, "",
+     "'1.2.3.4:5' is not a flow"},
+    {"explain --balancer 1.2.3.4:5 --flow 1.2.3.4:5,x", CtlExitCode::Usage, "",
+     "'x' is not an IPv4 endpoint"},
+    {"explain --help", CtlExitCode::Done, "--balancer <A.B.C.D:PORT>", ""},
     {"undrain --help", CtlExitCode::Done, "usage: pistachioctl undrain ID", ""},
 };
 
