--- a/Source/Core/Wire/NodeMessages.h
+++ b/Source/Core/Wire/NodeMessages.h
@@ -6,6 +6,7 @@
 #include "absl/status/statusor.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +44,19 @@
 inline constexpr std::size_t MaxRouteShares = 4400;
 inline constexpr std::size_t MaxFormerServices = 64;
 
+/// What the callers of a route need. Each value may be left unstated.
+struct RouteTerms {
+  /// From 0, the most urgent, to 9.
+  std::optional<std::uint8_t> Urgency;
+  /// Response-time objective of a request.
+  std::optional<Duration> Objective;
+  /// Callers give up on a request after this long.
+  std::optional<Duration> Timeout;
+  /// Whether a request may be executed more than once.
+  std::optional<bool> Repeatable;
+  friend bool operator==(const RouteTerms &, const RouteTerms &) = default;
+};
+
 /// Distributes the flows to one address over several services. A route has no
 /// id; the address is its key.
 struct RouteRecord {
@@ -51,6 +65,7 @@
   /// Services of earlier versions of the route. Their upstreams may still hold
   /// open flows.
   std::vector<ServiceId> FormerServices;
+  RouteTerms Terms{};
   friend bool operator==(const RouteRecord &, const RouteRecord &) = default;
 };
 
