Keep searches from congesting a narrow link by themselves

Two balancers with 2.8 Mbit/s stayed congested for 10 s.

Cause: a packet that waited in the balancer's own queue, or was dropped there after 200 ms, counted as sent. Agents therefore counted as silent and were sent the packet itself, 8 copies at a time, again with each retransmission. Each search also asked each agent again whether it could tell.

Ruled out: the agents (they answered within milliseconds elsewhere), the tables (in force 0.6 s after the kill), the traffic of callers (30 kB/s of 350).

Change: what an agent said it cannot tell holds for all searches for 5 s, so its packets go by chain without a query. Replies are awaited 200 ms longer while the link is congested. Packets of searches share half of the link (SearchBudget). Chains have 20 agents, as many as fit into a datagram, in place of 8.

Test: Loads/NarrowLinkSearchTest.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -27,6 +27,10 @@
 /// long is reported. Updates normally arrive before the grant that names their
 /// revision.
 constexpr Duration BehindReportDelay{500};
+constexpr double BytesPerMbit = 1e6 / 8;
+/// Share of the link that the packets of searches may take. Queries take up to
+/// another third of a link of 2 Mbit/s.
+constexpr double SearchShareOfLink = 0.5;
 /// The fabric stops sending packets after two failed readiness checks, which
 /// are half a second apart.
 constexpr Duration StopDelay{2000};
@@ -46,6 +50,12 @@
                              "First packets that agents gave back")),
         Queries(registry.counter("pistachio_balancer_queries_total",
                                  "Datagrams with queries for holders")),
+        SearchChains(registry.counter("pistachio_balancer_search_packets_total",
+                                      "Packets sent to agents by searches",
+                                      {{"way", "chain"}})),
+        SearchProbes(registry.counter("pistachio_balancer_search_packets_total",
+                                      "Packets sent to agents by searches",
+                                      {{"way", "direct"}})),
         TableConfirmations(
             registry.counter("pistachio_balancer_table_confirmations_total",
                              "Answers of control about the latest revision")),
@@ -77,6 +87,8 @@
   Counter &Returned;
   Counter &OffersDeclined;
   Counter &Queries;
+  Counter &SearchChains;
+  Counter &SearchProbes;
   Counter &TableConfirmations;
   Gauge &Flows;
   Gauge &Revision;
@@ -99,6 +111,9 @@
   if (Settings.Placement == PlacementMode::ExpectedWait)
     options.Placement = PlacementKind::ExpectedWait;
   options.PlacementSeed = hashServiceName(Settings.Name).Value;
+  if (Settings.LinkMbitPerSecond)
+    options.SearchBytesPerSecond = static_cast<std::uint32_t>(
+        *Settings.LinkMbitPerSecond * BytesPerMbit * SearchShareOfLink);
   Router = makeFlowRouter(std::move(options));
   if (Settings.LinkMbitPerSecond)
     Link = std::make_unique<LinkSender>(
@@ -396,6 +411,8 @@
   }
   if (decision.Action != RelayAction::Forward)
     return;
+  if (decision.Reason == RelayReason::Search)
+    KeptForSearch.add(flow, buf, arrived);
   sendToAgents(decision, packet, buf);
   if (decision.Reason == RelayReason::Search)
     KeptForSearch.markSent(flow, buf);
@@ -428,6 +445,7 @@
     for (const auto &[agent, chain] : makeChains(decision, buf)) {
       SendBuffer.clear();
       info.To = agent;
+      Instruments->SearchChains.add();
       if (const auto encoded = encodeData(chain, SendBuffer); encoded.ok())
         send(info, SendBuffer);
       else
@@ -451,6 +469,9 @@
     info.To = it;
     send(info, SendBuffer);
   }
+  if (decision.Reason == RelayReason::Search)
+    Instruments->SearchProbes.add(
+        static_cast<double>(1 + decision.OtherAgents.size()));
 }
 
 void RelayBalancer::sendQueries(const RelayDecision &decision,
--- a/Source/Core/Relay/AgentLoads.cpp
+++ b/Source/Core/Relay/AgentLoads.cpp
@@ -22,6 +22,10 @@
   Agents[agent].AnswersQueries = true;
 }
 
+void AgentLoads::recordCannotTell(const Endpoint &agent, TimePoint now) {
+  Agents[agent].CannotTellAt = now;
+}
+
 void AgentLoads::recordDecline(const Endpoint &agent, TimePoint avoidUntil) {
   Agents[agent].AvoidUntil = avoidUntil;
 }
--- a/Source/Core/Relay/AgentLoads.h
+++ b/Source/Core/Relay/AgentLoads.h
@@ -22,6 +22,8 @@
   TimePoint AvoidUntil{};
   TimePoint SilentUntil{};
   bool AnswersQueries = false;
+  /// When the agent last replied that it cannot tell whether it holds a flow.
+  std::optional<TimePoint> CannotTellAt;
 };
 
 /// What a balancer knows of the agents to which it forwards packets.
@@ -33,6 +35,7 @@
   void recordAnswer(const Endpoint &agent, const UpstreamLoad &load,
                     TimePoint now);
   void recordAnswersQueries(const Endpoint &agent);
+  void recordCannotTell(const Endpoint &agent, TimePoint now);
   void recordDecline(const Endpoint &agent, TimePoint avoidUntil);
   void recordTimeout(const Endpoint &agent, TimePoint silentUntil);
   void recordPlacement(const Endpoint &agent, TimePoint now);
--- a/Source/Core/Relay/DeferredPackets.cpp
+++ b/Source/Core/Relay/DeferredPackets.cpp
@@ -8,10 +8,6 @@
 /// One packet for each flow: about 3 MB with packets of the largest size.
 constexpr std::size_t MaxDeferredPackets = 2000;
 
-/// Callers give up on a first packet after 1.4 s; an older packet would only
-/// open flows that nobody waits for.
-constexpr Duration MaxDeferredAge{1200};
-
 } // namespace
 
 void DeferredPackets::add(const FlowEndpoints &flow,
@@ -34,7 +30,7 @@
 std::optional<DeferredPackets::Packet>
 DeferredPackets::takeOne(const FlowEndpoints &flow, TimePoint now) {
   auto node = Packets.extract(flow);
-  if (node.empty() || now - node.mapped().Arrived >= MaxDeferredAge)
+  if (node.empty() || now - node.mapped().Arrived >= MaxAge)
     return std::nullopt;
   return std::move(node.mapped());
 }
@@ -47,14 +43,14 @@
 
 void DeferredPackets::expire(TimePoint now) {
   std::erase_if(Packets, [&](const auto &it) {
-    return now - it.second.Arrived >= MaxDeferredAge;
+    return now - it.second.Arrived >= MaxAge;
   });
 }
 
 std::vector<DeferredPackets::Packet> DeferredPackets::take(TimePoint now) {
   std::vector<Packet> all;
   for (auto &[flow, it] : std::exchange(Packets, {}))
-    if (now - it.Arrived < MaxDeferredAge)
+    if (now - it.Arrived < MaxAge)
       all.push_back(std::move(it));
   // The newest packets can still be answered in time.
   std::ranges::stable_sort(all, std::ranges::greater{}, &Packet::Arrived);
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -2,6 +2,7 @@
 #include "HolderSearch.h"
 #include "PlacementPolicy.h"
 #include "RankedMembers.h"
+#include "SearchBudget.h"
 
 #include "Relay/Relay.h"
 
@@ -25,6 +26,15 @@
 /// both accepted the first packet use different initial sequence numbers.
 constexpr std::uint32_t SequenceWindowBytes = 16U * 1024 * 1024;
 
+/// An agent that could not tell whether it holds a flow is not queried for
+/// others for this long. It gets their packets, and passes them on if it can
+/// tell again.
+constexpr Duration CannotTellRetention{5000};
+
+/// Headers of a datagram with a packet: those of IP, UDP, the message and the
+/// packet.
+constexpr std::size_t PacketHeaderBytes = 100;
+
 struct Holder {
   Endpoint Agent;
   std::uint32_t FirstSequence = 0;
@@ -52,6 +62,8 @@
   /// without another search for LostFlowRetention.
   std::optional<TimePoint> LostAt;
   std::uint8_t Attempt = 0;
+  /// Data of the latest packet.
+  std::uint16_t DataBytes = 0;
   TimePoint ForwardedAt{};
   TimePoint LastPacketAt{};
   /// When the first packet arrived whose placement or search is not confirmed
@@ -100,6 +112,18 @@
   return services;
 }
 
+/// Returns how often a step of a search sends the packet over the link.
+std::size_t copiesOf(const SearchStep &step) {
+  return step.Action == SearchStep::Kind::Chain
+             ? (step.Agents.size() + MaxChainedAgents - 1) / MaxChainedAgents
+             : step.Agents.size();
+}
+
+/// Returns whether the packet of a search can still be sent.
+bool isPacketKept(const FlowEntry &entry, TimePoint now) {
+  return now - entry.LastPacketAt < DeferredPackets::MaxAge;
+}
+
 /// Returns the service of the route to which the agent belongs.
 std::optional<ServiceNameHash> serviceOfMember(const Endpoint &agent,
                                                const RouteRecord &route,
@@ -143,7 +167,8 @@
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
       : Options(std::move(options)),
-        Policy(makePlacementPolicy(Options.Placement, Options.PlacementSeed)) {}
+        Policy(makePlacementPolicy(Options.Placement, Options.PlacementSeed)),
+        SearchPackets(Options.SearchBytesPerSecond) {}
 
   RelayDecision onCallerPacket(const FlowPacket &packet,
                                const ServiceTable &table,
@@ -209,6 +234,8 @@
   HolderSearch &beginSearch(FlowEntry &entry, const FlowEndpoints &flow,
                             TimePoint now);
   void endSearch(FlowEntry &entry, const FlowEndpoints &flow);
+  /// What the link allows searches to do, apart from the budget.
+  SearchLimits searchLimits() const;
   SearchCandidates candidates(const FlowEndpoints &flow,
                               const RouteRecord &route,
                               const ServiceTable &table, TimePoint now) const;
@@ -246,6 +273,7 @@
   absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
       Searches;
   AgentLoads Agents;
+  SearchBudget SearchPackets;
   /// Arguments of the latest call of confirmTable().
   std::optional<TimePoint> ConfirmedAt;
   Revision ConfirmedRevision;
@@ -331,6 +359,7 @@
     return routeFirstPacket(packet, *route, table, now);
   FlowEntry &entry = findOrInsert(flow, now);
   entry.LastPacketAt = now;
+  entry.DataBytes = packet.DataBytes;
   if (entry.LostAt && now - *entry.LostAt < LostFlowRetention)
     return {.Action = packet.Resets ? RelayAction::Drop : RelayAction::Reset,
             .Reason = RelayReason::Unknown};
@@ -615,7 +644,9 @@
                             (status != nullptr && now < status->SilentUntil);
       (isSilent ? silent : found.All)
           .push_back({member.Address, name,
-                      status != nullptr && status->AnswersQueries});
+                      status != nullptr && status->AnswersQueries,
+                      status != nullptr && status->CannotTellAt &&
+                          now - *status->CannotTellAt < CannotTellRetention});
       found.FirstRound += it.Tier == 0 ? 1 : 0;
     }
   }
@@ -641,6 +672,10 @@
   entry.Searching = false;
 }
 
+SearchLimits FlowRouterImpl::searchLimits() const {
+  return {.SendDelay = IsLinkCongested ? MaxRequestWait : Duration{0}};
+}
+
 RelayDecision FlowRouterImpl::search(FlowEntry &entry,
                                      const FlowEndpoints &flow,
                                      const RouteRecord &route,
@@ -659,12 +694,17 @@
   HolderSearch &search = Searches.at(flow);
   RelayDecision decision{.Action = RelayAction::Query,
                          .Reason = RelayReason::Search};
-  if (!search.canAdvance(now))
+  SearchLimits limits = searchLimits();
+  if (!search.canAdvance(now, limits))
     return decision;
+  limits.MaySendPacket = isPacketKept(entry, now) && SearchPackets.hasRoom(now);
   const SearchCandidates agents = candidates(flow, route, table, now);
-  const SearchStep step = search.advance(agents.All, agents.FirstRound, now);
+  const SearchStep step =
+      search.advance(agents.All, agents.FirstRound, now, limits);
+  // Searches await replies longer on a congested link, so here the lack of one
+  // does say something about the agent.
   for (const Endpoint &it : search.unresponsive())
-    recordTimeout(it, now);
+    Agents.recordTimeout(it, now + Options.UnresponsivePenalty);
   switch (step.Action) {
   case SearchStep::Kind::Wait:
     return decision;
@@ -681,6 +721,7 @@
     decision.NeedsConfirmation = true;
     for (const HolderCandidate &it : std::span(step.Agents).subspan(1))
       decision.OtherAgents.push_back(it.Agent);
+    SearchPackets.spend(copiesOf(step) * (PacketHeaderBytes + entry.DataBytes));
     return decision;
   case SearchStep::Kind::Unanswered:
     // The entry stays, so that the next packet resumes the search.
@@ -699,6 +740,8 @@
                                             TimePoint now) {
   Agents.recordAnswer(agent, load, now);
   Agents.recordAnswersQueries(agent);
+  if (!message.IsCertain)
+    Agents.recordCannotTell(agent, now);
   const FlowEndpoints &flow = message.Flow;
   const auto it = Searches.find(flow);
   if (it == Searches.end())
@@ -714,8 +757,13 @@
 FlowRouterImpl::pollSearches(const ServiceTable &table, TimePoint now) {
   std::vector<FlowEndpoints> due;
   for (const auto &[flow, it] : Searches)
-    if (it.canAdvance(now) && !awaitsTable(it, table, now))
+    if (it.canAdvance(now, searchLimits()) && !awaitsTable(it, table, now))
       due.push_back(flow);
+  // The oldest searches come first if the budget does not suffice for all: a
+  // packet that visits other upstreams must reach its holder soon.
+  std::ranges::sort(due, {}, [&](const FlowEndpoints &it) {
+    return Searches.at(it).startedAt();
+  });
   std::vector<FlowDecision> decisions;
   for (const FlowEndpoints &flow : due) {
     const RouteRecord *route = table.findRoute(flow.Service);
@@ -839,6 +887,7 @@
   if (isFromHolder && !isRefused && acceptedBy(entry.Current, packet)) {
     decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
   } else {
+    entry.DataBytes = packet.DataBytes;
     beginSearch(entry, flow, now).onReturned(agent, now);
     decision = search(entry, flow, *route, table, now);
   }
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -27,7 +27,7 @@
 /// the packet visits no others while its holder is at work.
 constexpr Duration RetryTimeout{350};
 /// Longest time for the chains of one round. An agent takes 2 to 20 ms.
-constexpr Duration ChainPeriod{300};
+constexpr Duration ChainPeriod{400};
 /// After chains have stopped twice, the remaining agents are sent the packet
 /// directly: it must not visit other upstreams for 2 s before it reaches its
 /// holder.
@@ -40,17 +40,18 @@
       Inquiries, [&](const auto &it) { return it.second.Status == status; });
 }
 
-bool HolderSearch::isDue(const Inquiry &it, TimePoint now) const {
+bool HolderSearch::isDue(const Inquiry &it, TimePoint now,
+                         Duration sendDelay) const {
   if (!it.SentAt)
     return false;
   switch (it.Status) {
   case State::Queried:
-    return now - *it.SentAt >= QueryTimeout;
+    return now - *it.SentAt >= QueryTimeout + sendDelay;
   case State::Probed:
-    return now - *it.SentAt >= ProbeTimeout;
+    return now - *it.SentAt >= ProbeTimeout + sendDelay;
   case State::Chained:
   case State::Retried:
-    return now >= ChainDueAt;
+    return now >= ChainDueAt + sendDelay;
   default:
     return false;
   }
@@ -103,27 +104,32 @@
     it->second.SentAt = now;
 }
 
-bool HolderSearch::canAdvance(TimePoint now) const {
+bool HolderSearch::canAdvance(TimePoint now, const SearchLimits &limits) const {
   if (Finished)
     return false;
+  // Agents that cannot tell get the packet without waiting for replies that
+  // the link delays.
+  const Duration delay =
+      hasStatus(State::Unsure) ? Duration{0} : limits.SendDelay;
   return std::ranges::all_of(Inquiries, [&](const auto &it) {
     switch (it.second.Status) {
     case State::Queried:
+      return isDue(it.second, now, delay) || it.second.Queries > 1;
     case State::Probed:
-      return isDue(it.second, now) || it.second.Queries > 1;
+      return isDue(it.second, now, limits.SendDelay) || it.second.Queries > 1;
     case State::Chained:
     case State::Retried:
-      return isDue(it.second, now);
+      return isDue(it.second, now, limits.SendDelay);
     default:
       return true;
     }
   });
 }
 
-void HolderSearch::expireInquiries(TimePoint now) {
+void HolderSearch::expireInquiries(TimePoint now, Duration sendDelay) {
   std::vector<std::size_t> stoppedChains;
   for (auto &[agent, it] : Inquiries) {
-    if (!isDue(it, now) || it.Status == State::Chained)
+    if (!isDue(it, now, sendDelay) || it.Status == State::Chained)
       continue;
     if (it.Status == State::Retried)
       stoppedChains.push_back(it.Chain);
@@ -137,14 +143,15 @@
 }
 
 SearchStep HolderSearch::advance(std::span<const HolderCandidate> candidates,
-                                 std::size_t firstRound, TimePoint now) {
-  if (!canAdvance(now))
+                                 std::size_t firstRound, TimePoint now,
+                                 const SearchLimits &limits) {
+  if (!canAdvance(now, limits))
     return {};
   TableWithoutHolder.reset();
   for (const HolderCandidate &it : candidates)
     if (const auto known = Inquiries.find(it.Agent); known != Inquiries.end())
       known->second.Agent = it;
-  expireInquiries(now);
+  expireInquiries(now, limits.SendDelay);
   SearchStep step;
   const auto query = [&](Inquiry &it) {
     ++it.Queries;
@@ -152,7 +159,7 @@
     step.Agents.push_back(it.Agent);
   };
   for (auto &[agent, it] : Inquiries)
-    if (it.Status == State::Queried && isDue(it, now))
+    if (it.Status == State::Queried && isDue(it, now, limits.SendDelay))
       query(it);
   // Agents that cannot tell are asked by packet before others are queried: the
   // holder is most likely among the first. After all agents have restarted,
@@ -165,6 +172,8 @@
     step.Action = SearchStep::Kind::Query;
     return step;
   }
+  if (isPacketDue && !limits.MaySendPacket)
+    return step;
   if (hasStatus(State::Chained) && ++ChainStops < MaxChainStops)
     return retryChains(now);
   for (auto &[agent, it] : Inquiries)
@@ -182,8 +191,13 @@
       break;
     Inquiry &inquiry = Inquiries[it.Agent];
     inquiry.Agent = it;
-    query(inquiry);
     ++fresh;
+    if (it.CannotTell) {
+      inquiry.Status = State::Unsure;
+      inquiry.HasReplied = true;
+    } else {
+      query(inquiry);
+    }
   }
   if (fresh > 0)
     RoundSize = limit;
@@ -191,6 +205,8 @@
     step.Action = SearchStep::Kind::Query;
     return step;
   }
+  if (hasStatus(State::Unsure))
+    return limits.MaySendPacket ? askUnsure(candidates, now) : step;
   if (hasStatus(State::Queried) || hasStatus(State::Probed) ||
       hasStatus(State::Chained))
     return step;
@@ -271,9 +287,9 @@
 std::optional<ServiceNameHash>
 HolderSearch::serviceOf(const Endpoint &agent) const {
   const auto it = Inquiries.find(agent);
-  if (it == Inquiries.end() || it->second.Queries == 0)
-    return std::nullopt;
-  return it->second.Agent.Service;
+  const bool wasAsked = it != Inquiries.end() &&
+                        (it->second.Queries > 0 || it->second.WasSentPacket);
+  return wasAsked ? std::optional(it->second.Agent.Service) : std::nullopt;
 }
 
 std::vector<Endpoint> HolderSearch::unresponsive() const {
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -18,6 +18,18 @@
   /// The agent has replied to a query before. Agents of earlier releases know
   /// no queries; they are sent a packet of the flow instead.
   bool AnswersQueries = false;
+  /// The agent has replied to another search lately that it cannot tell, so a
+  /// query would bring nothing.
+  bool CannotTell = false;
+};
+
+/// What the balancer's own link allows a search to do.
+struct SearchLimits {
+  /// How long a datagram may wait in the balancer after it was sent. Replies
+  /// are awaited that much longer.
+  Duration SendDelay{0};
+  /// The packet itself may be sent to agents.
+  bool MaySendPacket = true;
 };
 
 /// What a search does next.
@@ -63,18 +75,19 @@
   /// Records that the query to \p agent has been sent.
   void onQuerySent(const Endpoint &agent, TimePoint now);
   /// Returns whether advance() may return anything but Wait.
-  bool canAdvance(TimePoint now) const;
+  bool canAdvance(TimePoint now, const SearchLimits &limits = {}) const;
   /// Returns the next step. \p candidates are all agents that may hold the
   /// flow, most likely ones first; it may differ from call to call.
   SearchStep advance(std::span<const HolderCandidate> candidates,
-                     std::size_t firstRound, TimePoint now);
+                     std::size_t firstRound, TimePoint now,
+                     const SearchLimits &limits = {});
   /// Continues a search that ended with Unanswered: candidates that did not
   /// reply are asked again.
   void resume();
   /// Agents that have replied to nothing in time. An agent that replied to a
   /// query is none of them: its upstream may be at work on the packet.
   std::vector<Endpoint> unresponsive() const;
-  /// Returns the service for which the agent was queried, if it was.
+  /// Returns the service for which the agent was asked, if it was.
   std::optional<ServiceNameHash> serviceOf(const Endpoint &agent) const;
   /// Returns whether the packet was sent to the agent, directly or in a chain.
   bool wasSentPacket(const Endpoint &agent) const;
@@ -109,7 +122,8 @@
     HolderCandidate Agent;
     State Status = State::Queried;
     std::uint8_t Queries = 0;
-    /// The agent has replied to a query of this search.
+    /// The agent has replied to a query, of this search or of another one
+    /// lately.
     bool HasReplied = false;
     bool WasSentPacket = false;
     /// Number of the agent's chain. Set for Chained and Retried.
@@ -118,8 +132,8 @@
     std::optional<TimePoint> SentAt;
   };
 
-  bool isDue(const Inquiry &it, TimePoint now) const;
-  void expireInquiries(TimePoint now);
+  bool isDue(const Inquiry &it, TimePoint now, Duration sendDelay) const;
+  void expireInquiries(TimePoint now, Duration sendDelay);
   /// Sends the packet to agents that cannot tell.
   SearchStep askUnsure(std::span<const HolderCandidate> candidates,
                        TimePoint now);
--- a/Source/Core/Relay/LinkScheduler.cpp
+++ b/Source/Core/Relay/LinkScheduler.cpp
@@ -33,7 +33,6 @@
 /// Bulk packets that wait longer are dropped, because their sender has
 /// retransmitted them (callers do so after 200 ms).
 constexpr Duration MaxBulkWait{400};
-constexpr Duration MaxWait{200};
 /// A flow without a packet for this long counts as ended. Callers retransmit
 /// at least every 1.6 s.
 constexpr Duration IdleTimeout{2000};
@@ -534,8 +533,9 @@
 
 void LinkSchedulerImpl::dropExpired(TimePoint now) {
   for (std::size_t i = 0; i < Queues.size(); ++i) {
-    const Duration limit =
-        static_cast<LinkClass>(i) == LinkClass::Bulk ? MaxBulkWait : MaxWait;
+    const Duration limit = static_cast<LinkClass>(i) == LinkClass::Bulk
+                               ? MaxBulkWait
+                               : MaxRequestWait;
     while (!Queues[i].isEmpty() && now - Queues[i].oldestArrival() > limit) {
       recordWait(now - Queues[i].oldestArrival(), now);
       Queues[i].dropOldest();
--- a/Source/Core/Relay/LinkScheduler.h
+++ b/Source/Core/Relay/LinkScheduler.h
@@ -31,6 +31,10 @@
 
 std::string_view nameOf(LinkClass linkClass);
 
+/// Packets of all classes but Bulk are dropped after they have waited for this
+/// long: callers have then retransmitted them.
+inline constexpr Duration MaxRequestWait{200};
+
 /// What the scheduler needs to know about a datagram.
 struct DatagramInfo {
   enum class Kind : std::uint8_t { Relayed, Query, Reset };
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -72,6 +72,8 @@
 std::string toString(const FlowEndpoints &flow);
 
 enum class RelayAction : std::uint8_t {
+  /// Send the packet to agents. With RelayReason::Search it is also kept, as
+  /// for Query.
   Forward,
   Reset,
   Drop,
@@ -188,6 +190,9 @@
   /// In a search, agents that cannot tell whether they hold the flow pass its
   /// packet on to each other. If false, the balancer sends it to each of them.
   bool UsesChains = true;
+  /// Limit on the packets that searches send, for a balancer with a narrow
+  /// link. Queries have a limit of their own (QueryBatcherOptions).
+  std::optional<std::uint32_t> SearchBytesPerSecond{};
   PlacementKind Placement = PlacementKind::LeastLoaded;
   /// Seed of the random choices of PlacementKind::ExpectedWait. Balancers with
   /// different seeds choose differently if they know the same loads.
@@ -200,6 +205,10 @@
 /// than 1200 ms.
 class DeferredPackets {
 public:
+  /// Callers give up on a first packet after 1.4 s; an older packet would only
+  /// open flows that nobody waits for.
+  static constexpr Duration MaxAge{1200};
+
   struct Packet {
     Bytes Data;
     TimePoint Arrived{};
--- a/Source/Core/Wire/DataMessages.h
+++ b/Source/Core/Wire/DataMessages.h
@@ -313,7 +313,7 @@
 };
 
 /// Largest number of agents that a ChainedPacket visits.
-inline constexpr std::size_t MaxChainedAgents = 8;
+inline constexpr std::size_t MaxChainedAgents = 20;
 
 /// Balancer to agent and agent to agent, relay mode: a packet of a flow that
 /// visits agents in turn until the upstream of one of them holds the flow. That
--- a/Source/UnitTests/Relay/ChainSearchTest.cpp
+++ b/Source/UnitTests/Relay/ChainSearchTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
+#include <deque>
 #include <functional>
 #include <set>
 
@@ -44,6 +46,10 @@
   /// of those without chains.
   std::size_t MaxBytesPermille;
   Duration MaxDelay;
+  /// Rate of the balancer's link; 0 if it is not limited.
+  double LinkMbitPerSecond = 0;
+  /// Between the first packets of two flows.
+  Duration Interval{10};
 };
 
 struct SearchCost {
@@ -57,6 +63,13 @@
   Duration MaxStrayTime{0};
   /// Longest time until a packet reached the holder.
   Duration MaxDelay{0};
+  /// Flows whose first packet was sent a second after the restart or later, and
+  /// those among them whose packet reached the holder within a second.
+  std::size_t LaterFlows = 0;
+  std::size_t LaterFlowsInTime = 0;
+  /// From the first packet of the last flow until the link was not congested
+  /// any more.
+  Duration CongestedFor{0};
 };
 
 /// All agents and the balancer have restarted, and all upstreams hold their
@@ -70,6 +83,11 @@
     FlowRouterOptions options{.DataCentre = "x"};
     const auto former = makeFlowRouter(options);
     options.UsesChains = usesChains;
+    if (load.LinkMbitPerSecond > 0) {
+      Link = makeLinkScheduler(load.LinkMbitPerSecond);
+      options.SearchBytesPerSecond =
+          static_cast<std::uint32_t>(load.LinkMbitPerSecond * 1e6 / 8 / 2);
+    }
     Router = makeFlowRouter(options);
     Router->confirmTable(TimePoint::max(), Revision{});
     for (std::uint32_t id = 1; id <= load.Agents; ++id)
@@ -81,7 +99,7 @@
 
   SearchCost run() {
     for (const auto &[caller, holder] : Holders)
-      at(Duration(caller * 10),
+      at(caller * Load.Interval,
          [this, it = caller] { send(it, Duration(200)); });
     at(Duration(20), [this] { poll(); });
     const TimePoint end = Now + Duration(8000);
@@ -141,7 +159,9 @@
   void send(std::uint16_t caller, Duration timeout) {
     if (Answered.contains(caller))
       return;
-    SentAt.try_emplace(caller, Now);
+    const bool isLater = Now - StartedAt >= Duration(1000);
+    if (SentAt.try_emplace(caller, Now).second && isLater)
+      ++Cost.LaterFlows;
     const Bytes buf = TestPacketFormat::encode(dataPacket(caller, 501));
     route(buf);
     at(timeout,
@@ -150,6 +170,7 @@
 
   // The balancer, as RelayBalancer.
   void route(const Bytes &buf) {
+    updateLinkState();
     const auto packet = *Format.decode(buf);
     apply(Router->onCallerPacket(packet, *Table, Now), packet, buf);
   }
@@ -165,6 +186,8 @@
     }
     if (decision.Action != RelayAction::Forward)
       return;
+    if (decision.Reason == RelayReason::Search)
+      Kept.add(flow, buf, Now);
     if (decision.IsChain) {
       for (auto &[agent, chain] : makeChains(decision, buf))
         sendToAgent(std::move(chain), agent);
@@ -195,7 +218,16 @@
       sendToAgent(std::move(it.Query), it.Agent);
     }
   }
+  void updateLinkState() {
+    if (!Link)
+      return;
+    const bool isCongested = Link->isCongested(Now);
+    Router->setLinkCongested(isCongested);
+    if (isCongested)
+      Cost.CongestedFor = Now - StartedAt - Load.Flows * Load.Interval;
+  }
   void poll() {
+    updateLinkState();
     sendQueries();
     for (const FlowDecision &it : Router->pollSearches(*Table, Now))
       applyToKept(it.Decision, it.Flow);
@@ -213,7 +245,41 @@
   }
   void sendToAgent(DataMessage message, const Endpoint &agent) {
     count(message);
-    deliver(std::move(message), agent, BalancerAddress);
+    if (!Link)
+      return deliver(std::move(message), agent, BalancerAddress);
+    DatagramInfo info{.To = agent, .Flow = {}};
+    Bytes buf;
+    ASSERT_TRUE(encodeData(message, buf).ok());
+    if (std::holds_alternative<FlowQuery>(message)) {
+      info.Content = DatagramInfo::Kind::Query;
+    } else {
+      buf.resize(buf.size() + PacketDataBytes);
+      const auto packet =
+          *Format.decode(std::holds_alternative<ChainedPacket>(message)
+                             ? std::get<ChainedPacket>(message).Packet
+                             : std::get<RelayedPacket>(message).Packet);
+      info.Flow = {packet.Source, packet.Destination};
+      info.Sequence = packet.Sequence;
+      info.DataBytes = PacketDataBytes;
+    }
+    // The number of the message stands in place of the data.
+    Unsent.push_back(std::move(message));
+    const std::size_t n = Unsent.size() - 1;
+    std::memcpy(buf.data(), &n, sizeof(n));
+    if (Link->add(info, buf, Now))
+      return deliver(Unsent[n], agent, BalancerAddress);
+    if (!std::exchange(IsLinkPolled, true))
+      at(Duration(2), [this] { sendWaiting(); });
+  }
+  void sendWaiting() {
+    for (const OutgoingPacket &it : Link->take(Now)) {
+      std::size_t n = 0;
+      std::memcpy(&n, it.Data.data(), sizeof(n));
+      deliver(Unsent[n], it.Info.To, BalancerAddress);
+    }
+    IsLinkPolled = Link->waitTime(Now).has_value();
+    if (IsLinkPolled)
+      at(Duration(2), [this] { sendWaiting(); });
   }
   void onAgentMessage(const DataMessage &message, const Endpoint &agent) {
     if (const auto *returned = std::get_if<ReturnedPacket>(&message)) {
@@ -289,6 +355,10 @@
       std::swap(packet.Source, packet.Destination);
       if (Delivered.insert(caller).second) {
         Cost.MaxDelay = std::max(Cost.MaxDelay, Now - SentAt.at(caller));
+        const TimePoint sentAt = SentAt.at(caller);
+        if (sentAt - StartedAt >= Duration(1000) &&
+            Now - sentAt <= Duration(1000))
+          ++Cost.LaterFlowsInTime;
         if (const auto stray = FirstStrayAt.find(caller);
             stray != FirstStrayAt.end())
           Cost.MaxStrayTime = std::max(Cost.MaxStrayTime, Now - stray->second);
@@ -308,7 +378,12 @@
   TestPacketFormat Format;
   TimePoint Now{Duration(1000000)};
   std::multimap<TimePoint, std::function<void()>> Events;
+  const TimePoint StartedAt = Now;
   std::unique_ptr<FlowRouter> Router;
+  std::unique_ptr<LinkScheduler> Link;
+  bool IsLinkPolled = false;
+  /// Messages by their number.
+  std::deque<DataMessage> Unsent;
   DeferredPackets Kept;
   QueryBatcher Batcher;
   std::map<Endpoint, std::unique_ptr<UpstreamRelay>> Agents;
@@ -377,5 +452,54 @@
                            return std::string(it.param.Name);
                          });
 
+class NarrowLinkSearchTest : public testing::TestWithParam<SearchLoad> {};
+
+// Load pattern: as above, on a link that the searches can fill. Guards against
+// searches that go on congesting the link by themselves: a balancer that took
+// the wait in its own queue for the silence of agents sent each of them a copy
+// of the packet, again with each retransmission, for 10 s.
+TEST_P(NarrowLinkSearchTest, FindsHoldersWithoutLastingCongestion) {
+  const SearchLoad &load = GetParam();
+  SearchSimulation simulation(load, true);
+  const SearchCost cost = simulation.run();
+  RecordProperty(
+      "cost",
+      concat(std::to_string(cost.Packets / cost.Found), " packets, ",
+             std::to_string(cost.Bytes / cost.Found), " bytes for a flow, ",
+             std::to_string(cost.LaterFlowsInTime), " of ",
+             std::to_string(cost.LaterFlows), " within 1 s, delay ",
+             std::to_string(cost.MaxDelay.count()), " ms, congested ",
+             std::to_string(cost.CongestedFor.count()), " ms, ",
+             std::to_string(cost.MaxStrayTime.count()),
+             " ms at other upstreams"));
+  EXPECT_EQ(cost.Found, simulation.flows()) << load.Guards;
+  EXPECT_EQ(cost.Resets, 0U) << load.Guards;
+  EXPECT_GE(cost.LaterFlowsInTime * 100, cost.LaterFlows * 95) << load.Guards;
+  EXPECT_LE(cost.MaxDelay, load.MaxDelay) << load.Guards;
+  EXPECT_LE(cost.CongestedFor, Duration(2000)) << load.Guards;
+  EXPECT_LT(cost.MaxStrayTime, Duration(2000)) << load.Guards;
+}
+
+/// 50 flows a second are nearly twice the requests a second of the busiest
+/// balancer with such a link on the deployments.
+const SearchLoad NarrowLinkLoads[] = {
+    {"Agents60", "copies of each packet on the balancer's link", 60, 150,
+     Fault::None, Duration(25), false, 0, Duration(1000), 2.8, Duration(20)},
+    {"Agents300", "copies of each packet on the balancer's link", 300, 150,
+     Fault::None, Duration(25), false, 0, Duration(1000), 2, Duration(20)},
+    {"AnyHolder60", "a holder that placement would not choose", 60, 150,
+     Fault::None, Duration(25), true, 0, Duration(2500), 2.8, Duration(20)},
+    {"AnyHolder60TenthGone", "agents that are asked again and again", 60, 150,
+     Fault::Gone, Duration(25), true, 0, Duration(2500), 2.8, Duration(20)},
+    {"WorkOf400Ms", "further copies while the holder is at work", 60, 150,
+     Fault::None, Duration(400), true, 0, Duration(2500), 2.8, Duration(20)},
+};
+
+INSTANTIATE_TEST_SUITE_P(Loads, NarrowLinkSearchTest,
+                         testing::ValuesIn(NarrowLinkLoads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 } // namespace pistachio
