Remove an upstream only after it has become suspect

What callers saw: open flows of a service that a configuration had dropped were reset as soon as their packets met another balancer, although their upstreams lived and their agents reported.

Cause: after all control members had stopped for 15 s or longer, the timer of the leader ran before it read announcements. It found every upstream overdue and removed all of them at once, without making them suspect.

The tracker now proposes the removal only once the state has the upstream as suspect. The order in the log therefore no longer depends on how often the timer runs. An announcement that is read after the pause makes the upstream active again.

--- a/Source/Core/Control/AnnouncementTracker.cpp
+++ b/Source/Core/Control/AnnouncementTracker.cpp
@@ -270,17 +270,21 @@
       liveness = previous->second;
     current.emplace(id, liveness);
     const Duration silentFor = now - liveness.LastSeen;
-    if (silentFor >= Options.RemoveAfter) {
+    if (silentFor < Options.SuspectAfter)
+      continue;
+    if (silentFor >= Options.RemoveAfter)
       recordTimeout(it.Record, now);
-      propose(PendingUpstreamProposals, it.Record.Address,
-              UpstreamLeft{id, it.Record.ProcessIncarnation}, now, proposals);
-    } else if (silentFor >= Options.SuspectAfter &&
-               it.AnnouncedState != UpstreamState::Suspect) {
+    // The state remembers only upstreams that it removes as suspect. After the
+    // whole group has stopped for a while, none of them is yet, although all
+    // are overdue.
+    if (it.AnnouncedState != UpstreamState::Suspect)
       propose(PendingUpstreamProposals, it.Record.Address,
               UpstreamChanged{id, it.Record.ProcessIncarnation,
                               UpstreamState::Suspect},
               now, proposals);
-    }
+    else if (silentFor >= Options.RemoveAfter)
+      propose(PendingUpstreamProposals, it.Record.Address,
+              UpstreamLeft{id, it.Record.ProcessIncarnation}, now, proposals);
   }
   Upstreams = std::move(current);
 }
