Encode packets of relay tests without the padding of their structure

UpstreamRelayTest.ReturnedPacketsReachTheirBalancerUnchanged compares encoded packets. The encoding copied the structure with its padding, whose bytes are indeterminate: the test failed in a build to which only another test had been added, at bytes 21 to 23, which no field occupies. The encoding now copies each field and leaves the padding 0; the comparison is as strict as before.

--- a/Source/UnitTests/Relay/RelayTestSupport.h
+++ b/Source/UnitTests/Relay/RelayTestSupport.h
@@ -3,6 +3,7 @@
 #include "Relay/Relay.h"
 #include "Routing/Routing.h"
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <string>
@@ -39,9 +40,27 @@
     reset.Sequence = packet.Acknowledgement;
     return encode(reset);
   }
+  /// The padding of the structure is 0, so that equal packets have equal bytes.
   static Bytes encode(const FlowPacket &packet) {
     Bytes buf(sizeof(packet));
-    std::memcpy(buf.data(), &packet, sizeof(packet));
+    const auto put = [&](const auto &field) {
+      const auto offset = reinterpret_cast<const std::byte *>(&field) -
+                          reinterpret_cast<const std::byte *>(&packet);
+      std::memcpy(buf.data() + offset, &field, sizeof(field));
+    };
+    put(packet.Source.Address);
+    put(packet.Source.Port);
+    put(packet.Destination.Address);
+    put(packet.Destination.Port);
+    put(packet.Opens);
+    put(packet.Acknowledges);
+    put(packet.Ends);
+    put(packet.Resets);
+    put(packet.Returned);
+    put(packet.Sequence);
+    put(packet.Acknowledgement);
+    put(packet.DataBytes);
+    put(packet.Tag);
     return buf;
   }
 
@@ -50,7 +69,7 @@
     FlowPacket packet;
     std::memcpy(&packet, buf.data(), sizeof(packet));
     it(packet);
-    std::memcpy(buf.data(), &packet, sizeof(packet));
+    std::ranges::copy(encode(packet), buf.begin());
   }
 };
 
