Ask an agent again under its present service, and keep long flows

Two faults of one class: a denial of a flow that proved nothing, after which a balancer reset the flow although its upstream lived.

An agent denies every flow for a service that is not its own, because its address may have belonged to another upstream before. A balancer with an old table asked the agent of the present upstream under the former service. A search never asks an agent again that has denied the flow, so the later table that the balancer waits for did not help. The reply now counts for the service that was asked for; a candidate with another service is asked again. The same holds for a packet that the agent refuses. Both cases of ChangedServiceTest failed before.

An agent took a packet for that of another connection if it acknowledged more than 16 MB after the first sequence number of the flow, and denied the flow to each balancer. The window now follows the data of the upstream. Half of it remains for data that is not acknowledged. The test UpstreamRelayTest.LongFlowsRemainTheSameConnection failed at 17 MB before; it now passes over 5 GB, where sequence numbers start again at 0.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -839,7 +839,9 @@
   if (isFromHolder && !isRefused && acceptedBy(entry.Current, packet)) {
     decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
   } else {
-    beginSearch(entry, flow, now).onReturned(agent, now);
+    const std::optional<ServiceNameHash> refusedService =
+        isFromHolder && isRefused ? entry.Current.Service : std::nullopt;
+    beginSearch(entry, flow, now).onReturned(agent, refusedService, now);
     decision = search(entry, flow, *route, table, now);
   }
   // A reset is sent only to a caller that waits for an answer, not in reply to
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -75,13 +75,17 @@
   it->second.HasReplied = true;
 }
 
-void HolderSearch::onReturned(const Endpoint &agent, TimePoint now) {
+void HolderSearch::onReturned(const Endpoint &agent,
+                              std::optional<ServiceNameHash> refusedService,
+                              TimePoint now) {
   // An agent that passed the chained packet on has said so before its upstream
   // returned the direct one. If it has not, the chain never got past it.
   if (const auto it = Inquiries.find(agent);
       it != Inquiries.end() && it->second.Status == State::Retried)
     releaseChain(it->second.Chain);
   onNotHeld(agent, true, now);
+  if (refusedService)
+    Inquiries.at(agent).AskedFor = refusedService;
 }
 
 void HolderSearch::recordChainProgress(TimePoint now) {
@@ -136,19 +140,33 @@
     releaseChain(chain);
 }
 
+void HolderSearch::updateCandidates(
+    std::span<const HolderCandidate> candidates) {
+  for (const HolderCandidate &it : candidates) {
+    const auto known = Inquiries.find(it.Agent);
+    if (known == Inquiries.end())
+      continue;
+    const Inquiry &inquiry = known->second;
+    if (inquiry.Status == State::NotHeld && inquiry.AskedFor &&
+        *inquiry.AskedFor != it.Service)
+      Inquiries.erase(known);
+    else
+      known->second.Agent = it;
+  }
+}
+
 SearchStep HolderSearch::advance(std::span<const HolderCandidate> candidates,
                                  std::size_t firstRound, TimePoint now) {
   if (!canAdvance(now))
     return {};
   TableWithoutHolder.reset();
-  for (const HolderCandidate &it : candidates)
-    if (const auto known = Inquiries.find(it.Agent); known != Inquiries.end())
-      known->second.Agent = it;
+  updateCandidates(candidates);
   expireInquiries(now);
   SearchStep step;
   const auto query = [&](Inquiry &it) {
     ++it.Queries;
     it.SentAt.reset();
+    it.AskedFor = it.Agent.Service;
     step.Agents.push_back(it.Agent);
   };
   for (auto &[agent, it] : Inquiries)
@@ -218,6 +236,7 @@
       return;
     it.Status = isChain ? State::Chained : State::Probed;
     it.SentAt = now;
+    it.AskedFor = it.Agent.Service;
     it.WasSentPacket = true;
     it.Chain = step.Agents.size() / MaxChainedAgents;
     step.Agents.push_back(it.Agent);
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -48,7 +48,8 @@
 /// their flow table are sent the packet itself: those that have replied to the
 /// query in a chain, one after the other, and the rest directly. A candidate
 /// that replied is not asked again, also if the search is resumed later: a flow
-/// does not move.
+/// does not move. The exception is a candidate that a later table has under
+/// another service: agents deny every flow for a service that is not theirs.
 class HolderSearch {
 public:
   /// If \p usesChains is false, the packet is only sent directly.
@@ -59,7 +60,9 @@
   /// \p isCertain is false, that the agent cannot tell.
   void onNotHeld(const Endpoint &agent, bool isCertain, TimePoint now);
   /// Records that the agent has returned the packet instead of passing it on.
-  void onReturned(const Endpoint &agent, TimePoint now);
+  /// \p refusedService is set if it did so because it is not of this service.
+  void onReturned(const Endpoint &agent,
+                  std::optional<ServiceNameHash> refusedService, TimePoint now);
   /// Records that the query to \p agent has been sent.
   void onQuerySent(const Endpoint &agent, TimePoint now);
   /// Returns whether advance() may return anything but Wait.
@@ -107,6 +110,9 @@
   };
   struct Inquiry {
     HolderCandidate Agent;
+    /// The service for which the agent was asked last. None if its upstream has
+    /// returned a packet unasked, which is valid for any service.
+    std::optional<ServiceNameHash> AskedFor;
     State Status = State::Queried;
     std::uint8_t Queries = 0;
     /// The agent has replied to a query of this search.
@@ -118,6 +124,9 @@
     std::optional<TimePoint> SentAt;
   };
 
+  /// Updates what is known of the candidates, and forgets the replies that were
+  /// for another service.
+  void updateCandidates(std::span<const HolderCandidate> candidates);
   bool isDue(const Inquiry &it, TimePoint now) const;
   void expireInquiries(TimePoint now);
   /// Sends the packet to agents that cannot tell.
--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -85,6 +85,10 @@
   Endpoint Balancer;
   /// First sequence number of the upstream; 0 if the agent has not seen it.
   std::uint32_t FirstSequence = 0;
+  /// The caller acknowledges this sequence number or one up to
+  /// SequenceWindowBytes after it. It follows the data of the upstream, so that
+  /// a long flow remains the same connection.
+  std::uint32_t FirstAcknowledgement = 0;
   /// Sequence number of the caller's first packet, if the agent has seen it.
   /// Another one opens another connection with the same endpoints.
   std::optional<std::uint32_t> OpeningSequence;
@@ -183,6 +187,9 @@
   /// Returns whether the packet belongs to another connection with the same
   /// endpoints than the one that the upstream holds.
   static bool isOtherConnection(const Flow &flow, const FlowPacket &packet);
+  /// Records that the upstream has sent data up to \p dataEnd. Half of the
+  /// window remains for data that the caller has not acknowledged.
+  static void advanceAcknowledgement(Flow &flow, std::uint32_t dataEnd);
   /// Records a packet that is about to be delivered and does not open the flow.
   void recordCallerPacket(const FlowEndpoints &endpoints,
                           const FlowPacket &packet, const Endpoint &balancer,
@@ -582,7 +589,15 @@
 bool UpstreamRelayImpl::isOtherConnection(const Flow &flow,
                                           const FlowPacket &packet) {
   return packet.Acknowledges && flow.FirstSequence != 0 &&
-         packet.Acknowledgement - flow.FirstSequence > SequenceWindowBytes;
+         packet.Acknowledgement - flow.FirstAcknowledgement >
+             SequenceWindowBytes;
+}
+
+void UpstreamRelayImpl::advanceAcknowledgement(Flow &flow,
+                                               std::uint32_t dataEnd) {
+  const std::uint32_t ahead = dataEnd - flow.FirstAcknowledgement;
+  if (ahead > SequenceWindowBytes / 2 && ahead <= SequenceWindowBytes)
+    flow.FirstAcknowledgement = dataEnd - SequenceWindowBytes / 2;
 }
 
 void UpstreamRelayImpl::recordCallerPacket(const FlowEndpoints &endpoints,
@@ -715,11 +730,12 @@
   using Kind = RelayOutput::Timing::Kind;
   flow.LastPacketAt = now;
   if (packet.Opens) {
-    flow.FirstSequence = packet.Sequence;
+    flow.FirstSequence = flow.FirstAcknowledgement = packet.Sequence;
     if (!flow.AcceptedByUpstream && flow.Busy)
       out.Timings.push_back({Kind::Open, now - flow.BusySince});
   }
   if (packet.DataBytes > 0) {
+    advanceAcknowledgement(flow, packet.Sequence + packet.DataBytes);
     if (flow.Busy && flow.HasData) {
       out.Timings.push_back({Kind::Answer, now - flow.BusySince});
       recordAnswerTime(flow, now - flow.BusySince);
--- a/Source/UnitTests/Relay/TableConfirmationTest.cpp
+++ b/Source/UnitTests/Relay/TableConfirmationTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <ostream>
 
 namespace pistachio {
@@ -195,5 +196,57 @@
   EXPECT_EQ(decision.Reason, RelayReason::NoRoute);
 }
 
+/// The holder's address belonged to an upstream of another service in the
+/// balancer's table.
+class ChangedServiceTest : public TableConfirmationTest {
+protected:
+  static constexpr std::uint32_t Holder = 3;
+
+  /// Lets the search go on with a table that has the present service of the
+  /// holder.
+  void expectQueryForPresentService(RelayDecision decision) {
+    ASSERT_EQ(answerAll(std::move(decision)).Reason, RelayReason::AwaitsTable);
+    TableUpdate update;
+    update.RemovedUpstreams = {{Holder}};
+    update.Upstreams = {TestTable::upstream(NewUpstream, 2)};
+    update.Upstreams[0].Address = agentEndpoint(Holder);
+    update.Routes = {{RouteAddress, {{{2}, 1}}, {{1}}}};
+    Table.apply(update);
+    Router->confirmTable(Now, (*Table).revision());
+    Now += Duration(20);
+    RelayDecision next{.Action = RelayAction::Query};
+    for (const FlowDecision &it : Router->pollSearches(*Table, Now)) {
+      EXPECT_EQ(it.Decision.Action, RelayAction::Query);
+      next.Queries.insert(next.Queries.end(), it.Decision.Queries.begin(),
+                          it.Decision.Queries.end());
+    }
+    EXPECT_TRUE(std::ranges::any_of(next.Queries, [](const QueryTarget &it) {
+      return it.Agent == agentEndpoint(Holder) &&
+             it.Service == hashServiceName("b");
+    }));
+    // An agent that denies the flow for each of its services is not asked
+    // forever.
+    EXPECT_EQ(answerAll(std::move(next)).Action, RelayAction::Reset);
+  }
+};
+
+// Guards against a reset of an open flow: an agent denies a flow for a service
+// that is not its own, so with a later table it has to be asked again.
+TEST_F(ChangedServiceTest, AgentThatDeniedTheFlowIsAskedAgain) {
+  expectQueryForPresentService(arrive());
+}
+
+// Guards against a reset of an open flow whose holder has reported itself and
+// then refuses a packet for a service that is not its own.
+TEST_F(ChangedServiceTest, AgentThatRefusedThePacketIsAskedAgain) {
+  Router->onFlowHeld({Flow.Caller, Flow.Service, 500, {}},
+                     agentEndpoint(Holder), Now);
+  ASSERT_EQ(arrive().Agent, agentEndpoint(Holder));
+  ReturnedPacket refusal;
+  refusal.RetryAfterMs = 2000;
+  expectQueryForPresentService(Router->onReturnedPacket(
+      Packet, refusal, agentEndpoint(Holder), *Table, Now));
+}
+
 } // namespace
 } // namespace pistachio
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -409,6 +409,26 @@
   EXPECT_EQ(messageOf<ReturnedPacket>(output)->Reason, ReturnReason::NotHeld);
 }
 
+// Guards against a reset of a long download: its agent took the packets of the
+// caller for those of another connection after 16 MB, and the sequence numbers
+// of a longer one start again at 0.
+TEST_F(UpstreamRelayTest, LongFlowsRemainTheSameConnection) {
+  constexpr std::uint16_t DataBytes = 50'000;
+  constexpr std::uint64_t TotalBytes = 5'000'000'000;
+  report(makeReport());
+  open(1, 500);
+  std::uint32_t sequence = 501;
+  for (std::uint64_t sent = 0; sent < TotalBytes; sent += DataBytes) {
+    sendFromUpstream(fromUpstream(1, false, sequence, DataBytes));
+    sequence += DataBytes;
+    if (sent % 1'000'000 == 0) {
+      ASSERT_TRUE(packetTo(relayPacket(dataPacket(1, sequence))))
+          << "after " << sent << " bytes";
+    }
+  }
+  EXPECT_FALSE(packetTo(relayPacket(dataPacket(1, sequence + 900'000'000))));
+}
+
 // Guards against new flows for an upstream that accepts none any more, because
 // its agent remembers a connection with the same endpoints.
 TEST_F(UpstreamRelayTest, NewConnectionOfAKnownFlowIsAdmittedAnew) {
