Do not deny flows that opened before a late first report

An agent forgets its flows at the first report of a lifetime, because they may belong to an earlier one, and answers "cannot tell" for those that opened less than 5 s before. If the report of an overloaded upstream was later than that, the agent denied open flows of the upstream with certainty, and a balancer that searched for them reset them.

A flow now also counts as uncertain if no report of an earlier lifetime has arrived since it opened. Flows that opened before such a report are denied as before. The test UpstreamRelayTest.FlowsBeforeALateFirstReportAreUncertain failed before, for the first report that an agent receives and for that of a later lifetime.

--- a/Source/Core/Relay/UpstreamRelay.cpp
+++ b/Source/Core/Relay/UpstreamRelay.cpp
@@ -78,7 +78,9 @@
 constexpr std::uint64_t MaxFirstSequence = 3;
 
 /// A flow that opened this long before the first report of a new lifetime may
-/// belong to that lifetime: an upstream accepts flows before its first report.
+/// belong to that lifetime, also if a report of the earlier one arrived later:
+/// an upstream accepts flows before its first report, and reports may be
+/// delayed.
 constexpr Duration FirstReportDelay{5000};
 
 struct Flow {
@@ -221,6 +223,9 @@
   /// Returns whether the upstream certainly does not hold a flow that is not in
   /// Flows.
   bool knowsAllFlows(const FlowEndpoints &endpoints, TimePoint now) const;
+  /// Returns whether the flow, which opened before the first report of a new
+  /// lifetime, may belong to that lifetime.
+  bool mayBeOfNewLifetime(const Flow &flow, TimePoint now) const;
   void setClosed(Flow &flow, bool byCaller, bool byUpstream);
   Flow *find(const FlowEndpoints &endpoints);
   Flow &insert(const FlowEndpoints &endpoints, TimePoint now);
@@ -406,6 +411,15 @@
   return LocalUpstreamState::Accepting;
 }
 
+bool UpstreamRelayImpl::mayBeOfNewLifetime(const Flow &flow,
+                                           TimePoint now) const {
+  // No report of an earlier lifetime has arrived since the flow opened. The
+  // first report of an overloaded upstream may be late by any time.
+  if (!HasReport || flow.AcceptedAt >= LastReportAt)
+    return true;
+  return now - flow.AcceptedAt < FirstReportDelay;
+}
+
 ReportResult UpstreamRelayImpl::onReport(const UpstreamReport &report,
                                          TimePoint now) {
   if (report.Service != Options.Service || report.Address != Options.Upstream)
@@ -424,7 +438,7 @@
     UncertainFlows.clear();
     NotHeldFlows.clear();
     for (const auto &[endpoints, flow] : Flows)
-      if (flow.AcceptedByUpstream && now - flow.AcceptedAt < FirstReportDelay)
+      if (flow.AcceptedByUpstream && mayBeOfNewLifetime(flow, now))
         UncertainFlows.insert(endpoints);
     Flows.clear();
     ClosedFlows = 0;
--- a/Source/UnitTests/Relay/UpstreamRelayTest.cpp
+++ b/Source/UnitTests/Relay/UpstreamRelayTest.cpp
@@ -812,6 +812,26 @@
   EXPECT_EQ(isCertainlyNotHeld(2), true);
 }
 
+// Guards against denying open flows of an upstream whose first report is late,
+// for example because its machine is overloaded.
+TEST_F(UpstreamRelayTest, FlowsBeforeALateFirstReportAreUncertain) {
+  constexpr Duration Delay{10'000};
+  startAgent(50'000);
+  tick();
+  sendFromUpstream(fromUpstream(1, true, 500));
+  Now += Delay;
+  report(makeReport(1, 50'000));
+  EXPECT_EQ(isCertainlyNotHeld(1), false);
+  EXPECT_EQ(isCertainlyNotHeld(3), true);
+  // The same for a later lifetime.
+  Now += Duration(1000);
+  open(2);
+  Now += Delay;
+  report(makeReport(1, 60'000));
+  EXPECT_EQ(isCertainlyNotHeld(2), false);
+  EXPECT_EQ(isCertainlyNotHeld(3), true);
+}
+
 // Guards against a reset for a caller that retransmits its last packet, and
 // against counting closed flows as load.
 TEST_F(UpstreamRelayTest, ClosedFlowsAreKnownForAWhileButAreNoLoad) {
