Let loads lead flows to other data centres in expected-wait

Cause: candidates of the local data centre got credit of up to 1.5 requests per slot, those of others always 0.5. The best local one therefore won however loaded it was, and the service was uneven across data centres.

Change: if the best candidate by expected load is in another data centre, none gets credit.

--- a/Source/Core/Relay/PlacementPolicy.cpp
+++ b/Source/Core/Relay/PlacementPolicy.cpp
@@ -270,9 +270,13 @@
       it.Load += RemoteLoadPenalty * (1 - bestLocal);
 }
 
-/// Candidates in other data centres get a fixed credit, at most that of the
-/// best local one, so that only loads lead flows there.
+/// If the best candidate is in another data centre, none gets credit: those of
+/// the local one would get flows however loaded they are.
 void ExpectedWaitPolicy::subtractCredit(Estimates &estimates) {
+  const auto best =
+      std::ranges::min_element(estimates, std::less{}, &Estimate::Load);
+  if (best == estimates.end() || best->IsRemote)
+    return;
   double sum = 0;
   double count = 0;
   for (const Estimate &it : estimates) {
