Read the terms of routes from routing documents

Cause: routing documents state the priority, objective, timeout and kind of a route, and the adapter drops them.

Change: with the control setting route_terms (default false) the adapter fills the terms of the routes. The setting is for deployments in which all control instances and balancers know the terms.

Tested: document values to terms, with and without the option, in the decoder and in the handler of the operator API; the setting with its default and with a wrong type.

--- a/Source/ControlDaemon/Main.cpp
+++ b/Source/ControlDaemon/Main.cpp
@@ -23,8 +23,10 @@
 int run(const std::string &path, const ControlSettings &settings,
         bool initialise) {
   boost::asio::io_context context(1);
-  const auto daemon = ControlDaemon::start(context, settings, initialise,
-                                           platform::makeOperatorHandler);
+  const auto daemon = ControlDaemon::start(
+      context, settings, initialise, [&settings](RoutingAdmin &admin) {
+        return platform::makeOperatorHandler(admin, {settings.FillsRouteTerms});
+      });
   if (!daemon.ok()) {
     logEvent(LogLevel::Error, "start_failed", messageOf(daemon.status()));
     return isFolderRefused(daemon.status()) ? ExitCode::BadSettings
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -463,6 +463,7 @@
   settings.Seeds = reader.seeds(settings.Peers.Port);
   settings.LeaseMs = LeaseMsWithSeeds;
   settings.FoundGroup = reader.flag("found_group");
+  settings.FillsRouteTerms = reader.flag("route_terms");
   settings.DataCentres = reader.names("data_centres", MaxDataCentres);
   if (reader.has("metrics"))
     settings.Metrics =
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -154,6 +154,9 @@
   /// Data centres that the instance declares in the rules if they are missing
   /// there.
   std::vector<std::string> DataCentres;
+  /// The terms of routes are read from routing documents. Only for deployments
+  /// in which all processes know them.
+  bool FillsRouteTerms = false;
   /// HTTP endpoint of the operator API, through which an operator's system
   /// changes and reads the routing document and the state of data centres. It
   /// is separate from the administration API. Set only if Seeds are given.
--- a/Source/UnitTests/Platform/CallsTest.cpp
+++ b/Source/UnitTests/Platform/CallsTest.cpp
@@ -15,6 +15,7 @@
   void applyRouting(RoutingPlan plan,
                     std::function<void(absl::Status)> done) override {
     ForwardedOperations.push_back("routing " + std::to_string(plan.Version));
+    HasTerms = !plan.Routes[0].Terms.isEmpty();
     done(StatusToReturn);
   }
   void readRouting(
@@ -35,6 +36,7 @@
 
   absl::Status StatusToReturn;
   std::vector<std::string> ForwardedOperations;
+  bool HasTerms = false;
 };
 
 /// Records the calls and returns a given result.
@@ -86,6 +88,10 @@
           ? std::vector<std::string>{}
           : std::vector<std::string>{it.ExpectedOperation};
   EXPECT_EQ(admin.ForwardedOperations, expected);
+  // Guards against terms in a deployment that has not enabled them.
+  EXPECT_FALSE(admin.HasTerms);
+  call(makeOperatorHandler(admin, {true}), it.Call);
+  EXPECT_EQ(admin.HasTerms, it.ExpectedOperation.starts_with("routing"));
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/Source/UnitTests/Platform/DocumentsTest.cpp
+++ b/Source/UnitTests/Platform/DocumentsTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 namespace pistachio::platform {
 namespace {
 
@@ -31,6 +33,44 @@
       << findings.format();
 }
 
+/// Text of the document, its replacement and the expected terms.
+using TermsCase = std::array<std::string_view, 3>;
+class DocumentTermsTest : public testing::TestWithParam<TermsCase> {};
+
+// Guards against terms that are read wrongly or without the option, and against
+// a document that becomes invalid through a value that the rules do not accept.
+TEST_P(DocumentTermsTest, ReadsWhatTheRulesAccept) {
+  std::string body = RoutingBody;
+  const auto &[from, to, expected] = GetParam();
+  body.replace(body.find(from), from.size(), to);
+  const auto linesWith = [&](const RoutingOptions &options) {
+    const RoutingPlan plan = decodeRouting(body, options).value();
+    return formatRouting(plan.Services, {plan.Routes.data(), 1}, "x");
+  };
+  const std::string lines = linesWith({true});
+  EXPECT_TRUE(lines.ends_with(concat("30 ", expected, " # asked by x\n")));
+  Findings findings;
+  EXPECT_TRUE(RuleSet::parse(lines, "r", findings)) << findings.format();
+  EXPECT_TRUE(linesWith({}).ends_with("30 # asked by x\n"));
+}
+
+const TermsCase TermsCases[] = {
+    {"safe", "download", "urgency 2 objective 100 timeout 1500 repeatable"},
+    {"safe", "unsafe", "urgency 2 objective 100 timeout 1500 once"},
+    {"safe", "upload", "urgency 2 objective 100 timeout 1500 once"},
+    {"safe", "other", "urgency 2 objective 100 timeout 1500"},
+    {":2,", ":0,", "urgency 0 objective 100 timeout 1500 repeatable"},
+    {":2,", ":10,", "objective 100 timeout 1500 repeatable"},
+    {":2,", ":2.5,", "objective 100 timeout 1500 repeatable"},
+    {"slo_ms", "s", "urgency 2 timeout 1500 repeatable"},
+    {":100,", ":0,", "urgency 2 timeout 1500 repeatable"},
+    {":1500,", ":99,", "urgency 2 timeout 99 repeatable"},
+    {":1500,", ":3600001,", "urgency 2 objective 100 repeatable"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, DocumentTermsTest,
+                         testing::ValuesIn(TermsCases));
+
 TEST(DocumentsTest, ReadsReport) {
   const auto report = decodeReport("i-1", ReportBody);
   ASSERT_TRUE(report.ok()) << report.status();
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -289,6 +289,8 @@
     {"ReportServiceTime", RelayAgent, "", "report_service_time = true\n", ""},
     {"ReportServiceTimeIsNumber", RelayAgent, "", "report_service_time = 1\n",
      "15:23: report_service_time: the value must be true or false"},
+    {"RouteTermsIsText", ControlWithSeeds, "", "route_terms = \"yes\"\n",
+     "9:15: route_terms: the value must be true or false"},
     {"FoundGroupIsText", ControlWithSeeds, "true", "\"yes\"",
      "7:15: found_group: the value must be true or false"},
     {"DataCentreName", ControlWithSeeds, "dc-b", "DC b",
@@ -338,6 +340,10 @@
   EXPECT_EQ(control->Seeds[0].Port, control->Peers.Port);
   EXPECT_NE(control->Nodes.Port, control->Peers.Port);
   EXPECT_TRUE(control->FoundGroup);
+  EXPECT_FALSE(control->FillsRouteTerms);
+  const auto withTerms = loadControlSettings(
+      write(concat(ControlWithSeeds, "route_terms = true\n")), findings);
+  EXPECT_TRUE(withTerms && withTerms->FillsRouteTerms);
   EXPECT_EQ(control->DataCentres.size(), 2U);
 }
 
