Let first packets wait by the terms of their route

Cause: all deferred first packets were retried every 15 ms, newest first and regardless of their route, and were refused after 100 ms.

Change: on routes that state an objective or an urgency, first packets wait in WaitingFlows. The order is: those that can be on time, urgency, equal shares of caller addresses, oldest first; every tenth try goes to the least urgent. The longest wait is the objective, at most 1 s (100 ms without one). A service gets a try when the reports of its agents suggest room, and declined offers come out of a budget that accepted flows refill. A declined flow waits again instead of going to the next agent at once. A full queue or a wait that has ended resets the flow at once. While copies of a first packet are on their way to the agent that declined it, the flow is not refused, because a copy may open it. The router owns the queue, so that explain uses the same decision; it names agents without room "no-room". Routes without terms use DeferredPackets as before. New metrics: waiting flows, tries, refusals by cause.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -18,6 +18,9 @@
 /// Interval at which deferred packets are routed again. It is shorter than the
 /// work of one request on the deployments.
 constexpr Duration RetryInterval{15};
+/// Interval at which the packets that wait by the terms of their routes are
+/// tried. A few are tried at a time, so that it limits their rate.
+constexpr Duration WaitInterval{5};
 /// Interval at which searches are checked for queries that are overdue.
 constexpr Duration SearchPollInterval{20};
 /// Control is reported as lost after this long without a grant, which is twelve
@@ -49,6 +52,20 @@
         TableConfirmations(
             registry.counter("pistachio_balancer_table_confirmations_total",
                              "Answers of control about the latest revision")),
+        WaitingTries(registry.counter(
+            "pistachio_balancer_waiting_tries_total",
+            "Tries of first packets that wait by the terms of their route")),
+        WaitingRefusedFull(registry.counter(
+            "pistachio_balancer_waiting_refused_total",
+            "Flows refused while waiting by the terms of their route, by cause",
+            {{"cause", "queue-full"}})),
+        WaitingRefusedLate(registry.counter(
+            "pistachio_balancer_waiting_refused_total",
+            "Flows refused while waiting by the terms of their route, by cause",
+            {{"cause", "wait-exceeded"}})),
+        WaitingFlows(registry.gauge(
+            "pistachio_balancer_waiting_flows",
+            "First packets that wait by the terms of their route")),
         Flows(registry.gauge("pistachio_balancer_flows", "Flows remembered")),
         Revision(registry.gauge("pistachio_balancer_table_revision",
                                 "Revision of the table in force")),
@@ -78,6 +95,10 @@
   Counter &OffersDeclined;
   Counter &Queries;
   Counter &TableConfirmations;
+  Counter &WaitingTries;
+  Counter &WaitingRefusedFull;
+  Counter &WaitingRefusedLate;
+  Gauge &WaitingFlows;
   Gauge &Flows;
   Gauge &Revision;
   Gauge &CommittedRevision;
@@ -190,6 +211,7 @@
   Instruments->Revision.set(static_cast<double>(table->revision().Value));
   Instruments->Upstreams.set(static_cast<double>(table->upstreamCount()));
   retryDeferred();
+  tryWaiting();
   pollSearches();
 }
 
@@ -241,6 +263,28 @@
     onCallerDatagram(it.Data, it.Arrived);
 }
 
+void RelayBalancer::tryWaiting() {
+  const ServiceTablePtr table = Control->table();
+  if (table->routeCount() > 0)
+    for (const auto &it : Router->takeWaiting(*table, steadyNow()))
+      onCallerDatagram(it.Data, it.Terms.Arrived);
+  if (Router->waiting().size() == 0)
+    WaitTimer.reset();
+}
+
+void RelayBalancer::publishWaiting() {
+  const WaitingCounters &counters = Router->waiting().counters();
+  const auto added = [](std::uint64_t value, std::uint64_t &published) {
+    return static_cast<double>(value - std::exchange(published, value));
+  };
+  Instruments->WaitingTries.add(added(counters.Tries, PublishedWaiting.Tries));
+  Instruments->WaitingRefusedFull.add(
+      added(counters.RefusedFull, PublishedWaiting.RefusedFull));
+  Instruments->WaitingRefusedLate.add(
+      added(counters.RefusedLate, PublishedWaiting.RefusedLate));
+  Instruments->WaitingFlows.set(static_cast<double>(Router->waiting().size()));
+}
+
 void RelayBalancer::onCallerDatagram(std::span<const std::byte> buf,
                                      TimePoint arrived) {
   const std::optional<FlowPacket> packet = Format->decode(buf);
@@ -382,6 +426,12 @@
                  .Flow = flow},
                 Format->makeReset(packet));
   }
+  if (decision.Action == RelayAction::Defer && decision.Wait) {
+    Router->waiting().add(flow, buf, *decision.Wait);
+    if (!WaitTimer)
+      WaitTimer = startTimer(Context, WaitInterval, [this] { tryWaiting(); });
+    return;
+  }
   if (decision.Action == RelayAction::Defer) {
     Deferred.add(flow, buf, arrived);
     if (!RetryTimer)
@@ -523,6 +573,7 @@
   Router->tick(now);
   KeptForSearch.expire(now);
   checkTableAge(now);
+  publishWaiting();
   Instruments->Flows.set(static_cast<double>(Router->flowCount()));
   const bool isControlReachable =
       LastGrantAt != TimePoint{} && now - LastGrantAt < ControlLostTimeout;
--- a/Source/Balancer/RelayBalancer.h
+++ b/Source/Balancer/RelayBalancer.h
@@ -52,6 +52,9 @@
   void queryTableIfNeeded();
   void onTableConfirmed(TimePoint askedAt, Revision committed);
   void retryDeferred();
+  /// Routes the packets whose turn it is among Router->waiting().
+  void tryWaiting();
+  void publishWaiting();
   void logDecision(const RelayDecision &decision, const FlowPacket &packet);
   bool isReady() const;
   void onTable();
@@ -63,8 +66,8 @@
   BalancerSettings Settings;
   std::unique_ptr<PacketFormat> Format;
   std::unique_ptr<FlowRouter> Router;
-  /// Packets that arrived before the first table or while all upstreams were
-  /// busy.
+  /// Packets that arrived before the first table or, on routes without terms,
+  /// while all upstreams were busy.
   DeferredPackets Deferred;
   /// Packets of flows whose holder is searched for.
   DeferredPackets KeptForSearch;
@@ -81,6 +84,10 @@
   std::unique_ptr<PeriodicTimer> PeriodicTaskTimer;
   /// Runs only while packets are deferred.
   std::unique_ptr<PeriodicTimer> RetryTimer;
+  /// Runs only while packets wait by the terms of their routes.
+  std::unique_ptr<PeriodicTimer> WaitTimer;
+  /// What publishWaiting() has added to the metrics.
+  WaitingCounters PublishedWaiting;
   /// Runs only while the router searches for holders.
   std::unique_ptr<PeriodicTimer> SearchTimer;
   std::optional<TimePoint> StopRequestedAt;
--- a/Source/Core/Relay/AgentLoads.h
+++ b/Source/Core/Relay/AgentLoads.h
@@ -4,6 +4,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -24,6 +25,19 @@
   bool AnswersQueries = false;
 };
 
+/// Which flows an agent is expected to accept.
+enum class RoomKind : std::uint8_t {
+  /// Those for which a slot is free.
+  FreeSlot,
+  /// Also one for each slot that waits at the agent until the slot is free.
+  NextInLine
+};
+
+/// Returns how many new flows the agent may have room for, by its latest report
+/// and the time since. \p status is nullptr if nothing is known of the agent.
+std::size_t expectedRoom(const AgentStatus *status, RoomKind kind,
+                         TimePoint now);
+
 /// What a balancer knows of the agents to which it forwards packets.
 class AgentLoads {
 public:
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -8,6 +8,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pistachio {
 namespace {
@@ -35,6 +36,16 @@
   TimePoint Since{};
 };
 
+/// What becomes of a first packet that was taken from the WaitingFlows.
+enum class WaitTurn : std::uint8_t {
+  /// It was not taken from them, or has been routed since.
+  None,
+  /// It may be offered although others wait.
+  Offer,
+  /// It has waited too long.
+  Refuse
+};
+
 struct FlowEntry {
   /// The agent that gets the packets of the flow. It is unconfirmed until it
   /// answers the first packet or the query.
@@ -59,6 +70,13 @@
   std::optional<TimePoint> ResolvingSince;
   /// When the first packet of the flow was first deferred.
   std::optional<TimePoint> DeferredSince;
+  /// The service whose agents the flow is offered to by the terms of its route.
+  /// Not set once the agent has replied.
+  std::optional<ServiceId> OfferedBy;
+  /// Copies of the first packet that the agent got after the offer. One of them
+  /// may open the flow after the agent has declined an earlier one.
+  std::uint8_t OfferedCopies = 0;
+  WaitTurn Turn = WaitTurn::None;
 };
 
 /// How long packets of a flow without a holder are reset without a search: its
@@ -139,6 +157,11 @@
   });
 }
 
+/// Returns whether the terms of the route decide how its first packets wait.
+bool hasWaitTerms(const RouteRecord &route) {
+  return route.Terms.Urgency || route.Terms.Objective;
+}
+
 class FlowRouterImpl final : public FlowRouter {
 public:
   explicit FlowRouterImpl(FlowRouterOptions options)
@@ -165,6 +188,9 @@
   std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                          TimePoint now) override;
   bool isSearching() const override;
+  WaitingFlows &waiting() override { return Waiting; }
+  std::vector<WaitingFlows::Packet> takeWaiting(const ServiceTable &table,
+                                                TimePoint now) override;
   bool mayHaveOpened(const FlowPacket &firstPacket) const override;
   void setLinkCongested(bool congested) override {
     IsLinkCongested = congested;
@@ -185,16 +211,32 @@
                           const RouteRecord &route, const ServiceTable &table,
                           TimePoint now);
   RelayDecision deferFirstPacket(FlowEntry &entry, const FlowEndpoints &flow,
+                                 const RouteRecord &route, ServiceId service,
                                  std::span<const RankedMember> members,
                                  TimePoint now);
+  Duration maxDeferralOf(const RouteRecord &route) const;
+  /// Returns whether a flow of a route with terms may be offered now. It waits
+  /// if others do, or if one of \p attempt agents has just declined it.
+  bool isNext(WaitTurn turn, std::uint8_t attempt, ServiceId service) const;
+  bool hasRoom(const ServiceMember &member, RoomKind kind, TimePoint now) const;
+  /// Returns those of the members that may have a free slot or, if there are
+  /// none, those that may have a place next in line.
+  std::vector<RankedMember> withRoom(std::span<const RankedMember> members,
+                                     TimePoint now) const;
+  /// Returns the number of waiting flows of the service that may be tried, or
+  /// nullopt if the service accepts no flows.
+  std::optional<std::size_t>
+  countTries(const Service *service, std::size_t allowed, TimePoint now) const;
   HolderState holderStateOf(const FlowEntry &entry, const RouteRecord &route,
                             const ServiceTable &table, TimePoint now) const;
   /// Returns whether a first packet waits if none of \p members can be chosen.
   bool isDeferrable(std::span<const RankedMember> members,
-                    TimePoint deferredSince, TimePoint now) const;
-  void explainPlacement(const Service &service, const ServiceTable &table,
-                        const FlowEntry &entry, bool isHolderSilent,
-                        TimePoint now, FlowExplanation &out) const;
+                    TimePoint deferredSince, Duration maxDeferral,
+                    TimePoint now) const;
+  void explainPlacement(const Service &service, const RouteRecord &route,
+                        const ServiceTable &table, const FlowEntry &entry,
+                        bool isHolderSilent, TimePoint now,
+                        FlowExplanation &out) const;
   ExplainedUpstream explainUpstream(const ServiceMember &member,
                                     const ServiceTable &table,
                                     TimePoint now) const;
@@ -246,6 +288,7 @@
   absl::flat_hash_map<FlowEndpoints, HolderSearch, std::hash<FlowEndpoints>>
       Searches;
   AgentLoads Agents;
+  WaitingFlows Waiting;
   /// Arguments of the latest call of confirmTable().
   std::optional<TimePoint> ConfirmedAt;
   Revision ConfirmedRevision;
@@ -371,12 +414,18 @@
     entry.ResolvingSince = now;
   resolveServices(entry, route, table);
   const HolderState holder = holderStateOf(entry, route, table, now);
-  if (holder == HolderState::Answering)
+  if (holder == HolderState::Answering) {
+    if (entry.OfferedBy && entry.OfferedCopies < MaxAttempts)
+      ++entry.OfferedCopies;
     return forwardDecision(entry, RelayReason::Held);
+  }
   if (holder == HolderState::Silent)
     recordTimeout(entry.Current.Agent, now);
   entry.Attempt = 0;
-  return placeFlow(entry, flow, route, table, now);
+  RelayDecision decision = placeFlow(entry, flow, route, table, now);
+  if (const auto it = Flows.find(flow); it != Flows.end())
+    it->second.Turn = WaitTurn::None;
+  return decision;
 }
 
 HolderState FlowRouterImpl::holderStateOf(const FlowEntry &entry,
@@ -420,10 +469,24 @@
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
   const std::vector<RankedMember> members =
       rankMembers(flow, service->members(), {}, localDataCentre);
-  const ServiceMember *best =
-      Policy->choose(flow, members, localDataCentre, Agents, now);
+  const bool isByTerms = hasWaitTerms(route);
+  const ServiceMember *best = nullptr;
+  if (!isByTerms)
+    best = Policy->choose(flow, members, localDataCentre, Agents, now);
+  else if (isNext(entry.Turn, entry.Attempt, service->id()))
+    best = Policy->choose(flow, withRoom(members, now), localDataCentre, Agents,
+                          now);
   if (best == nullptr)
-    return deferFirstPacket(entry, flow, members, now);
+    return deferFirstPacket(entry, flow, route, service->id(), members, now);
+  if (isByTerms) {
+    entry.OfferedBy = service->id();
+    entry.OfferedCopies = 0;
+    // An agent lets a first packet wait for a slot only on a later attempt.
+    if (entry.Turn == WaitTurn::Offer ||
+        !hasRoom(*best, RoomKind::FreeSlot, now) ||
+        !Waiting.isWithinBudget(service->id()))
+      entry.Attempt = std::max<std::uint8_t>(entry.Attempt, 1);
+  }
   if (entry.Current.Agent != best->Address && entry.Current.FirstSequence != 0)
     entry.Alternate = entry.Current;
   entry.Current = {best->Address, 0, hashServiceName(service->name()), now};
@@ -437,27 +500,120 @@
 
 /// Defers the first packet if an upstream should accept it soon, and resets the
 /// flow otherwise.
-RelayDecision
-FlowRouterImpl::deferFirstPacket(FlowEntry &entry, const FlowEndpoints &flow,
-                                 std::span<const RankedMember> members,
-                                 TimePoint now) {
+RelayDecision FlowRouterImpl::deferFirstPacket(
+    FlowEntry &entry, const FlowEndpoints &flow, const RouteRecord &route,
+    ServiceId service, std::span<const RankedMember> members, TimePoint now) {
   entry.Current = {};
   if (!entry.DeferredSince)
     entry.DeferredSince = now;
-  if (!isDeferrable(members, *entry.DeferredSince, now))
+  RelayDecision decision{.Action = RelayAction::Defer,
+                         .Reason = RelayReason::Busy};
+  const Duration maxDeferral = maxDeferralOf(route);
+  const bool isByTerms = hasWaitTerms(route);
+  const bool isFull = isByTerms && !Waiting.canAdd(flow);
+  const TimePoint end = *entry.DeferredSince + maxDeferral;
+  if (isFull ||
+      !isDeferrable(members, *entry.DeferredSince, maxDeferral, now)) {
+    if (isFull || (isByTerms && now >= end))
+      Waiting.recordRefusal(isFull);
+    Waiting.erase(flow);
     return removeFlow(flow, RelayAction::Reset, RelayReason::NoUpstream);
-  return {.Action = RelayAction::Defer, .Reason = RelayReason::Busy};
+  }
+  if (isByTerms) {
+    const TimePoint arrived = entry.ResolvingSince.value_or(now);
+    decision.Wait = {
+        service, route.Terms.Urgency.value_or(UrgencyNotStated), arrived,
+        arrived + route.Terms.Objective.value_or(Options.MaxDeferral), end};
+  }
+  return decision;
+}
+
+Duration FlowRouterImpl::maxDeferralOf(const RouteRecord &route) const {
+  return route.Terms.Objective
+             ? std::min(*route.Terms.Objective, Options.MaxDeferralByObjective)
+             : Options.MaxDeferral;
+}
+
+bool FlowRouterImpl::isNext(WaitTurn turn, std::uint8_t attempt,
+                            ServiceId service) const {
+  if (turn != WaitTurn::None)
+    return turn == WaitTurn::Offer;
+  return attempt == 0 && !Waiting.hasWaiting(service);
+}
+
+bool FlowRouterImpl::hasRoom(const ServiceMember &member, RoomKind kind,
+                             TimePoint now) const {
+  const AgentStatus *status = Agents.find(member.Address);
+  return offerStateOf(member, status, now) == OfferState::Eligible &&
+         expectedRoom(status, kind, now) > 0;
+}
+
+std::vector<RankedMember>
+FlowRouterImpl::withRoom(std::span<const RankedMember> members,
+                         TimePoint now) const {
+  std::vector<RankedMember> found;
+  for (const RoomKind kind : {RoomKind::FreeSlot, RoomKind::NextInLine}) {
+    std::ranges::copy_if(
+        members, std::back_inserter(found),
+        [&](const RankedMember &it) { return hasRoom(*it.Member, kind, now); });
+    if (!found.empty())
+      break;
+  }
+  return found;
+}
+
+std::vector<WaitingFlows::Packet>
+FlowRouterImpl::takeWaiting(const ServiceTable &table, TimePoint now) {
+  std::vector<WaitingFlows::Packet> all;
+  const auto append = [&](std::vector<WaitingFlows::Packet> taken,
+                          WaitTurn turn) {
+    for (WaitingFlows::Packet &it : taken) {
+      if (const auto entry = Flows.find(it.Flow); entry != Flows.end())
+        entry->second.Turn = turn;
+      all.push_back(std::move(it));
+    }
+  };
+  append(Waiting.takeExpired(now), WaitTurn::Refuse);
+  for (const ServiceId id : Waiting.services()) {
+    const auto tries =
+        countTries(table.find(id), Waiting.allowedTries(id, now), now);
+    if (tries)
+      append(Waiting.take(id, *tries, now), WaitTurn::Offer);
+    else
+      append(Waiting.takeAll(id), WaitTurn::None);
+  }
+  return all;
+}
+
+std::optional<std::size_t> FlowRouterImpl::countTries(const Service *service,
+                                                      std::size_t allowed,
+                                                      TimePoint now) const {
+  std::optional<std::size_t> tries;
+  if (service == nullptr)
+    return tries;
+  for (const ServiceMember &it : service->members()) {
+    if (it.State != CandidateState::Accepting)
+      continue;
+    const AgentStatus *status = Agents.find(it.Address);
+    const bool isEligible =
+        offerStateOf(it, status, now) == OfferState::Eligible;
+    tries = tries.value_or(0) +
+            (isEligible ? expectedRoom(status, RoomKind::NextInLine, now) : 0);
+    if (*tries >= allowed)
+      return allowed;
+  }
+  return tries;
 }
 
 bool FlowRouterImpl::isDeferrable(std::span<const RankedMember> members,
-                                  TimePoint deferredSince,
+                                  TimePoint deferredSince, Duration maxDeferral,
                                   TimePoint now) const {
-  const TimePoint end = deferredSince + Options.MaxDeferral;
+  const TimePoint end = deferredSince + maxDeferral;
   return now < end && std::ranges::any_of(members, [&](const RankedMember &it) {
            const AgentStatus *status = Agents.find(it.Member->Address);
            return it.Member->State == CandidateState::Accepting &&
-                  status != nullptr &&
-                  std::max(status->AvoidUntil, status->SilentUntil) < end;
+                  (status == nullptr ||
+                   std::max(status->AvoidUntil, status->SilentUntil) < end);
          });
 }
 
@@ -502,12 +658,13 @@
   out.Action = RelayAction::Reset;
   out.Reason = RelayReason::NoUpstream;
   if (service != nullptr)
-    explainPlacement(*service, table, entry, holder == HolderState::Silent, now,
-                     out);
+    explainPlacement(*service, *route, table, entry,
+                     holder == HolderState::Silent, now, out);
   return out;
 }
 
 void FlowRouterImpl::explainPlacement(const Service &service,
+                                      const RouteRecord &route,
                                       const ServiceTable &table,
                                       const FlowEntry &entry,
                                       bool isHolderSilent, TimePoint now,
@@ -528,17 +685,27 @@
   };
   if (isHolderSilent)
     leaveOut(entry.Current.Agent);
-  const auto loads = Policy->comparedLoads(members, local, Agents, now);
+  const bool isByTerms = hasWaitTerms(route);
+  const std::vector<RankedMember> candidates =
+      isByTerms ? withRoom(members, now) : members;
+  const auto loads = Policy->comparedLoads(candidates, local, Agents, now);
+  // The next of the candidates, which are in the order of the members.
+  std::size_t next = 0;
   const auto withdrawn = table.withdrawnMembers(service.id());
   out.UpstreamCount = members.size() + withdrawn.size();
   for (std::size_t i = 0;
        i < std::min(members.size(), FlowExplanation::MaxUpstreams); ++i) {
     ExplainedUpstream it = explainUpstream(*members[i].Member, table, now);
     it.Tier = members[i].Tier;
-    it.Load = loads[i];
+    const bool isCandidate = next < candidates.size() &&
+                             candidates[next].Member == members[i].Member;
+    if (isCandidate)
+      it.Load = loads[next++];
     if (isHolderSilent && it.Agent == entry.Current.Agent) {
       it.State = OfferState::Silent;
       it.StateEndsIn = Options.UnresponsivePenalty;
+    } else if (it.State == OfferState::Eligible && !isCandidate) {
+      it.State = OfferState::NoRoom;
     } else if (it.State == OfferState::Eligible && !it.Load) {
       it.State = OfferState::LaterTier;
     }
@@ -551,10 +718,13 @@
     it.State = OfferState::DataCentreOut;
     out.Upstreams.push_back(std::move(it));
   }
-  const ServiceMember *best =
-      Policy->choose(out.Flow, members, local, Agents, now);
+  const ServiceMember *best = nullptr;
+  if (!isByTerms || isNext(WaitTurn::None, 0, service.id()))
+    best = Policy->choose(out.Flow, candidates, local, Agents, now);
   if (best == nullptr) {
-    if (isDeferrable(members, entry.DeferredSince.value_or(now), now)) {
+    if ((!isByTerms || Waiting.canAdd(out.Flow)) &&
+        isDeferrable(members, entry.DeferredSince.value_or(now),
+                     maxDeferralOf(route), now)) {
       out.Action = RelayAction::Defer;
       out.Reason = RelayReason::Busy;
     }
@@ -563,11 +733,13 @@
   out.Action = RelayAction::Forward;
   out.Reason = RelayReason::Placed;
   out.Agent = best->Address;
+  if (isByTerms)
+    return;
   leaveOut(best->Address);
-  const ServiceMember *next =
+  const ServiceMember *second =
       Policy->choose(out.Flow, members, local, Agents, now);
-  if (next != nullptr)
-    out.NextAgent = next->Address;
+  if (second != nullptr)
+    out.NextAgent = second->Address;
 }
 
 ExplainedUpstream FlowRouterImpl::explainUpstream(const ServiceMember &member,
@@ -823,6 +995,12 @@
     return forwardToHolder(entry, visitedAgents);
   if (packet.Opens) {
     Agents.recordDecline(agent, now + Duration(message.RetryAfterMs));
+    if (isFromHolder && entry.OfferedBy && entry.OfferedCopies > 0) {
+      --entry.OfferedCopies;
+      return {.Action = RelayAction::Drop, .Reason = RelayReason::Busy};
+    }
+    if (const auto service = std::exchange(entry.OfferedBy, std::nullopt))
+      Waiting.recordDecline(*service, now);
     entry.Attempt = visitedAgents;
     entry.Current = {};
     return placeFlow(entry, flow, *route, table, now);
@@ -876,6 +1054,8 @@
   }
   entry.Current = holder;
   entry.DeferredSince.reset();
+  if (const auto service = std::exchange(entry.OfferedBy, std::nullopt))
+    Waiting.recordAccept(*service);
   entry.Confirmed = true;
   endSearch(entry, flow);
   entry.Attempt = 0;
@@ -958,6 +1138,8 @@
     return "data-centre-out";
   case OfferState::LaterTier:
     return "later-tier";
+  case OfferState::NoRoom:
+    return "no-room";
   }
   return "other";
 }
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -8,6 +8,7 @@
 
 #include "Common/Common.h"
 #include "Relay/LinkScheduler.h"
+#include "Relay/WaitingFlows.h"
 #include "Routing/Routing.h"
 #include "Wire/Wire.h"
 
@@ -75,7 +76,8 @@
   Forward,
   Reset,
   Drop,
-  /// Keep the packet and route it again after a short delay.
+  /// Keep the packet and route it again after a short delay, or add it to
+  /// FlowRouter::waiting() if RelayDecision::Wait is set.
   Defer,
   /// Keep the packet, which replaces an earlier one of its flow, and send a
   /// FlowQuery to each of RelayDecision::Queries. A later decision of the
@@ -144,6 +146,8 @@
   TimePoint HolderSince{};
   /// Same meaning as in RelayedPacket.
   std::uint32_t ColdMilliflowsPerSecond = UnlimitedColdRate;
+  /// Set for Defer if the terms of the route decide how long the packet waits.
+  std::optional<WaitTerms> Wait{};
 };
 
 /// Returns the messages that send a packet along the chains of a decision, each
@@ -183,8 +187,11 @@
   /// be reached, but one that is held is not broken by a planned restart.
   Duration ConfirmationTimeout{3000};
   /// Longest time for which a first packet is deferred until an upstream is
-  /// free. It equals the shortest response-time goal of the deployments.
+  /// free, if its route states no objective. It equals the shortest
+  /// response-time goal of the deployments.
   Duration MaxDeferral{100};
+  /// Bounds this time on routes with an objective: callers give up after 1.4 s.
+  Duration MaxDeferralByObjective{1000};
   /// In a search, agents that cannot tell whether they hold the flow pass its
   /// packet on to each other. If false, the balancer sends it to each of them.
   bool UsesChains = true;
@@ -256,7 +263,10 @@
   DataCentreOut,
   /// An upstream of an earlier tier is eligible.
   LaterTier,
-  Max = LaterTier
+  /// The agent is expected to decline. Only on routes whose terms decide how
+  /// first packets wait.
+  NoRoom,
+  Max = NoRoom
 };
 
 std::string_view nameOf(OfferState state);
@@ -316,7 +326,7 @@
   std::vector<ExplainedUpstream> Upstreams;
   std::size_t UpstreamCount = 0;
   /// The agent that is chosen if Agent declines the flow. Not set if none
-  /// remains.
+  /// remains, or if the flow then waits by the terms of its route.
   std::optional<Endpoint> NextAgent;
 };
 
@@ -361,6 +371,14 @@
   virtual std::vector<FlowDecision> pollSearches(const ServiceTable &table,
                                                  TimePoint now) = 0;
   virtual bool isSearching() const = 0;
+  /// First packets that wait by the terms of their routes. The caller adds
+  /// those with RelayDecision::Wait.
+  virtual WaitingFlows &waiting() = 0;
+  /// Removes from waiting() the packets to try or to refuse now. Each must be
+  /// passed to onCallerPacket() at once. Must be called every few milliseconds
+  /// while waiting() is not empty.
+  virtual std::vector<WaitingFlows::Packet>
+  takeWaiting(const ServiceTable &table, TimePoint now) = 0;
   /// Returns whether an agent may have got this first packet, or holds its
   /// flow. Such a flow may have opened.
   virtual bool mayHaveOpened(const FlowPacket &firstPacket) const = 0;
