Count idle flows also in old reports

Cause: expected-wait forgot within about one service time what a report says, also the number of open flows, which bring further requests for tens of seconds.

Change: idle flows are a part of the load of their own, believed for 10 s and weighed by the time that the upstream takes for a request. ChoiceTest.CountsIdleFlowsAlsoInOldReports failed before.

--- a/Source/Core/Relay/PlacementPolicy.cpp
+++ b/Source/Core/Relay/PlacementPolicy.cpp
@@ -44,6 +44,10 @@
 /// load still counts.
 constexpr double MaxCreditIntervals = 3;
 
+/// How long the number of idle flows in a report says something, in
+/// milliseconds. Flows with many requests stay open for tens of seconds.
+constexpr double IdleFlowsTrustMs = 10'000;
+
 /// Calls \p visit for each eligible candidate of the first tiers that have one.
 template <typename Visit>
 void visitEligible(std::span<const RankedMember> candidates,
@@ -133,10 +137,13 @@
   /// 0 if the agent has not stated it.
   double ServiceTimeMs = 0;
   double AgeMs = 0;
-  /// Weight of the report: 1 when it arrives, 0 if there is none.
+  /// Weight of the reported requests in progress: 1 when the report arrives, 0
+  /// if there is none.
   double Trust = 0;
-  /// Requests, first as reported, then as expected per slot.
+  /// Requests, first as reported in progress, then as expected per slot.
   double Load = 0;
+  /// Reported flows without a request as requests, then per slot of mean speed.
+  double IdleFlowLoad = 0;
   /// Requests that this balancer added since the report.
   double OwnRequests = 0;
   /// Time since this balancer placed a flow on the candidate, if it did.
@@ -203,7 +210,9 @@
   if (status.ReportedAt) {
     it.HasReport = true;
     it.Slots = std::max<double>(status.Load.Slots, 1);
-    it.Load = status.Load.BusyFlows + status.Load.Flows * LoadPerOpenFlow;
+    it.Load = status.Load.BusyFlows;
+    it.IdleFlowLoad = std::max(status.Load.Flows - status.Load.BusyFlows, 0) *
+                      LoadPerOpenFlow;
     it.AgeMs = milliseconds(now - *status.ReportedAt);
     it.ServiceTimeMs = status.Load.ServiceTimeMs;
   }
@@ -236,21 +245,37 @@
 }
 
 void ExpectedWaitPolicy::expectLoads(Estimates &estimates) {
+  double times = 0;
+  for (const Estimate &it : estimates)
+    times += it.ServiceTimeMs;
+  const double meanTime =
+      times / static_cast<double>(std::max<std::size_t>(estimates.size(), 1));
   double loads = 0;
+  double idleFlowLoads = 0;
   double reports = 0;
   for (Estimate &it : estimates) {
     if (!it.HasReport)
       continue;
     it.Load /= it.Slots;
+    // The requests that idle flows will bring take a slow upstream longer.
+    it.IdleFlowLoad *= it.ServiceTimeMs / meanTime / it.Slots;
     loads += it.Load;
+    idleFlowLoads += it.IdleFlowLoad;
     reports += 1;
     // The requests that a report counts end, and others begin, within about one
     // service time.
     it.Trust = decay(it.AgeMs / it.ServiceTimeMs);
   }
   const double mean = reports > 0 ? loads / reports : 0;
+  const double idleFlowMean = reports > 0 ? idleFlowLoads / reports : 0;
+  const auto weighted = [](double value, double other, double weight) {
+    return weight * value + (1 - weight) * other;
+  };
   for (Estimate &it : estimates) {
-    it.Load = it.Trust * it.Load + (1 - it.Trust) * mean;
+    const double idleFlowsTrust =
+        it.HasReport ? decay(it.AgeMs / IdleFlowsTrustMs) : 0;
+    it.Load = weighted(it.Load, mean, it.Trust) +
+              weighted(it.IdleFlowLoad, idleFlowMean, idleFlowsTrust);
     // Own flows that no report counts yet, for example because the upstream
     // takes long to accept them, end after one to two service times.
     if (it.OwnRequests > 0 && *it.IdleMs < 2 * it.ServiceTimeMs)
--- a/Source/UnitTests/Relay/PlacementPolicyTest.cpp
+++ b/Source/UnitTests/Relay/PlacementPolicyTest.cpp
@@ -334,6 +334,26 @@
   EXPECT_NEAR(choices(*expectedWait())[0], 333, 60);
 }
 
+// Guards against an uneven number of long flows, each of which brings further
+// requests: how many an upstream has is known for longer than what it is at
+// work on.
+TEST_F(ChoiceTest, CountsIdleFlowsAlsoInOldReports) {
+  Ranked.pop_back();
+  for (std::uint32_t id = 1; id <= 3; ++id)
+    Agents.recordAnswer(
+        Members[id - 1].Address,
+        {0, static_cast<std::uint16_t>(id == 1 ? 20 : 60), 4, 20},
+        Now - Duration(1000));
+  EXPECT_GE(choices(*expectedWait())[0], 600);
+  // After a minute most of them have ended.
+  for (std::uint32_t id = 1; id <= 3; ++id)
+    Agents.recordAnswer(
+        Members[id - 1].Address,
+        {0, static_cast<std::uint16_t>(id == 1 ? 20 : 60), 4, 20},
+        Now - Duration(60'000));
+  EXPECT_NEAR(choices(*expectedWait())[0], 333, 60);
+}
+
 // Guards against flows for agents that declined, fell silent or drain.
 TEST_F(ChoiceTest, LeavesOutAgentsThatAcceptNothing) {
   Agents.recordDecline(Members[0].Address, Now + Duration(1));
