Move the queue and the counter of LinkScheduler.cpp to their own files

No change of behaviour. From LinkScheduler.cpp (643 lines) these parts move:

- FairQueue.h/.cpp: FairQueue, with HeaderBytes and PacketOverheadBytes as its members.
QueryBatcher.cpp has another constant named HeaderBytes, so it must not be in the namespace.
- RecentBytes.h: RecentBytes.
- RelayTypes.cpp: nameOf(LinkClass), beside the names of the other types.

LinkScheduler.cpp (496 lines) keeps the scheduler itself.

No test was changed.

--- a/Source/Core/Relay/LinkScheduler.cpp
+++ b/Source/Core/Relay/LinkScheduler.cpp
@@ -1,20 +1,19 @@
 #include "Relay/LinkScheduler.h"
 
+#include "FairQueue.h"
+#include "RecentBytes.h"
+
 #include "Relay/Relay.h"
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <map>
 
 namespace pistachio {
 namespace {
 
-/// Headers of IP and UDP.
-constexpr std::size_t HeaderBytes = 28;
 /// Share of the link that is used. The rest keeps the queue out of the link
 /// although the rate of the link is not known exactly.
 constexpr double UsedShare = 0.95;
@@ -59,8 +58,6 @@
 /// Limit of the memory of one class of waiting packets: what a link of 100
 /// Mbit/s sends within MaxBulkWait.
 constexpr std::size_t MaxQueueBytes = 6 * 1024 * 1024;
-/// Memory of a waiting packet in addition to its data, approximately.
-constexpr std::size_t PacketOverheadBytes = 256;
 /// Weight of the latest flow in the average of its route.
 constexpr double AverageWeight = 0.125;
 
@@ -77,137 +74,6 @@
          mix64((kind << 32) + content);
 }
 
-/// Packets of one class. They are taken in turn by flow, so that a flow with
-/// many waiting packets does not delay those of other flows.
-class FairQueue {
-public:
-  struct Waiting {
-    DatagramInfo Info;
-    Bytes Data;
-    TimePoint Arrived{};
-    std::uint64_t Key = 0;
-  };
-
-  bool isEmpty() const { return Packets.empty(); }
-  std::size_t length() const { return Packets.size(); }
-  /// Memory of the waiting packets.
-  std::size_t memoryBytes() const { return MemoryBytes; }
-  /// Bytes that the waiting packets take on the link.
-  std::size_t linkBytes() const {
-    return MemoryBytes - Packets.size() * (PacketOverheadBytes - HeaderBytes);
-  }
-  TimePoint oldestArrival() const { return Packets.begin()->second.Arrived; }
-  /// Returns whether the queue has a packet with this key.
-  bool contains(std::uint64_t key) const { return Keys.contains(key); }
-  void push(Waiting packet);
-  /// Returns the packet whose turn it is. The queue must not be empty.
-  const Waiting &next();
-  /// Removes and returns the packet of next().
-  Waiting pop();
-  /// Removes the packet that has waited for longest.
-  void dropOldest();
-
-private:
-  Waiting remove(std::uint64_t id);
-
-  /// By order of arrival.
-  std::map<std::uint64_t, Waiting> Packets;
-  std::uint64_t LastId = 0;
-  std::size_t MemoryBytes = 0;
-  /// The waiting packets of each flow, oldest first. A flow is listed once in
-  /// Turns for as long as it has an entry here.
-  absl::flat_hash_map<FlowEndpoints, std::vector<std::uint64_t>,
-                      std::hash<FlowEndpoints>>
-      Flows;
-  std::deque<FlowEndpoints> Turns;
-  absl::flat_hash_set<std::uint64_t> Keys;
-};
-
-void FairQueue::push(Waiting packet) {
-  const auto [flow, isNew] = Flows.try_emplace(packet.Info.Flow);
-  if (isNew)
-    Turns.push_back(packet.Info.Flow);
-  flow->second.push_back(++LastId);
-  Keys.insert(packet.Key);
-  MemoryBytes += packet.Data.size() + PacketOverheadBytes;
-  Packets.emplace(LastId, std::move(packet));
-}
-
-const FairQueue::Waiting &FairQueue::next() {
-  while (true) {
-    const auto flow = Flows.find(Turns.front());
-    if (!flow->second.empty())
-      return Packets.at(flow->second.front());
-    Flows.erase(flow);
-    Turns.pop_front();
-  }
-}
-
-FairQueue::Waiting FairQueue::pop() {
-  const FlowEndpoints flow = next().Info.Flow;
-  const auto it = Flows.find(flow);
-  Waiting packet = remove(it->second.front());
-  Turns.pop_front();
-  if (it->second.empty())
-    Flows.erase(it);
-  else
-    Turns.push_back(flow);
-  return packet;
-}
-
-void FairQueue::dropOldest() {
-  remove(Packets.begin()->first);
-  // Only next() removes flows without packets, and it is not called before
-  // there are further packets.
-  if (Packets.empty()) {
-    Flows.clear();
-    Turns.clear();
-  }
-}
-
-FairQueue::Waiting FairQueue::remove(std::uint64_t id) {
-  Waiting packet = std::move(Packets.extract(id).mapped());
-  MemoryBytes -= packet.Data.size() + PacketOverheadBytes;
-  Keys.erase(packet.Key);
-  // Within a flow the oldest packet is always the first to go.
-  std::vector<std::uint64_t> &ids = Flows.find(packet.Info.Flow)->second;
-  ids.erase(ids.begin());
-  return packet;
-}
-
-/// Bytes sent in the last second, in steps of a tenth.
-class RecentBytes {
-public:
-  void add(std::size_t bytes, TimePoint now) {
-    advance(now);
-    Steps[Current % Steps.size()] += bytes;
-    Sum += bytes;
-  }
-  std::uint64_t sum(TimePoint now) {
-    advance(now);
-    return Sum;
-  }
-
-private:
-  void advance(TimePoint now) {
-    const std::int64_t step = now.time_since_epoch() / Duration(100);
-    if (step - Current >= static_cast<std::int64_t>(Steps.size())) {
-      Steps.fill(0);
-      Sum = 0;
-      Current = step;
-    }
-    while (Current < step) {
-      std::uint64_t &oldest = Steps[++Current % Steps.size()];
-      Sum -= oldest;
-      oldest = 0;
-    }
-  }
-
-  std::array<std::uint64_t, 10> Steps{};
-  std::uint64_t Sum = 0;
-  std::int64_t Current = 0;
-};
-
 struct FlowState {
   /// Data that the flow has carried, without retransmissions.
   std::uint32_t Carried = 0;
@@ -334,7 +200,7 @@
   const LinkClass linkClass = classify(info, now);
   refill(now);
   if (Tokens > 0 && !isAnyWaiting(linkClass) && !owesBulk()) {
-    recordSent(linkClass, info, data.size() + HeaderBytes, now);
+    recordSent(linkClass, info, data.size() + FairQueue::HeaderBytes, now);
     return true;
   }
   FairQueue &queue = queueOf(linkClass);
@@ -517,8 +383,8 @@
 bool LinkSchedulerImpl::owesBulk() {
   FairQueue &bulk = queueOf(LinkClass::Bulk);
   return !bulk.isEmpty() &&
-         BulkCredit >=
-             static_cast<double>(bulk.next().Data.size() + HeaderBytes);
+         BulkCredit >= static_cast<double>(bulk.next().Data.size() +
+                                           FairQueue::HeaderBytes);
 }
 
 std::optional<LinkClass> LinkSchedulerImpl::nextClass() {
@@ -555,7 +421,8 @@
     FairQueue::Waiting it = queueOf(*linkClass).pop();
     const Duration waited = now - it.Arrived;
     recordWait(waited, now);
-    recordSent(*linkClass, it.Info, it.Data.size() + HeaderBytes, now);
+    recordSent(*linkClass, it.Info, it.Data.size() + FairQueue::HeaderBytes,
+               now);
     packets.push_back({it.Info, std::move(it.Data), waited});
   }
   return packets;
@@ -622,20 +489,6 @@
 
 } // namespace
 
-std::string_view nameOf(LinkClass linkClass) {
-  switch (linkClass) {
-  case LinkClass::Urgent:
-    return "urgent";
-  case LinkClass::Small:
-    return "small";
-  case LinkClass::Medium:
-    return "medium";
-  case LinkClass::Bulk:
-    return "bulk";
-  }
-  return "other";
-}
-
 std::unique_ptr<LinkScheduler> makeLinkScheduler(double mbitPerSecond) {
   return std::make_unique<LinkSchedulerImpl>(mbitPerSecond);
 }
--- a/Source/Core/Relay/RelayTypes.cpp
+++ b/Source/Core/Relay/RelayTypes.cpp
@@ -1,5 +1,7 @@
 #include "Relay/Relay.h"
 
+#include "Relay/LinkScheduler.h"
+
 namespace pistachio {
 
 std::uint64_t hashFlowEndpoints(const FlowEndpoints &flow) {
@@ -92,4 +94,18 @@
   return "other";
 }
 
+std::string_view nameOf(LinkClass linkClass) {
+  switch (linkClass) {
+  case LinkClass::Urgent:
+    return "urgent";
+  case LinkClass::Small:
+    return "small";
+  case LinkClass::Medium:
+    return "medium";
+  case LinkClass::Bulk:
+    return "bulk";
+  }
+  return "other";
+}
+
 } // namespace pistachio
