Let first packets wait by terms on narrow links only

Cause: the queue offers at most 1.5 times for each placed flow. Agents that had just restarted and declined everything counted against that limit like busy ones. On a wide link the limit also gains nothing.

Change: only agents whose slots are busy count. Balancers with more than 100 Mbit/s, or without a stated rate, handle first packets as before. WaitingRouterTest.OnlyBusyAgentsUseUpTheBudget failed before.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -30,6 +30,11 @@
 /// long is reported. Updates normally arrive before the grant that names their
 /// revision.
 constexpr Duration BehindReportDelay{500};
+/// Up to this rate, first packets wait by the terms of their routes. Each offer
+/// that an agent declines crosses the link twice. On a wide link it costs
+/// nothing, and offering sooner brings flows to upstreams sooner after a
+/// restart of all.
+constexpr double MaxNarrowLinkMbitPerSecond = 100;
 constexpr double BytesPerMbit = 1e6 / 8;
 /// Share of the link that the packets of searches may take. Queries take up to
 /// another third of a link of 2 Mbit/s.
@@ -134,6 +139,9 @@
   if (Settings.Placement == PlacementMode::Adaptive)
     options.Placement = PlacementKind::Adaptive;
   options.PlacementSeed = hashServiceName(Settings.Name).Value;
+  options.WaitsByTerms =
+      Settings.LinkMbitPerSecond.value_or(MaxNarrowLinkMbitPerSecond + 1) <=
+      MaxNarrowLinkMbitPerSecond;
   if (Settings.LinkMbitPerSecond)
     options.SearchBytesPerSecond = static_cast<std::uint32_t>(
         *Settings.LinkMbitPerSecond * BytesPerMbit * SearchShareOfLink);
--- a/Source/Core/Relay/FlowEntry.cpp
+++ b/Source/Core/Relay/FlowEntry.cpp
@@ -52,8 +52,4 @@
   });
 }
 
-bool hasWaitTerms(const RouteRecord &route) {
-  return route.Terms.Urgency || route.Terms.Objective;
-}
-
 } // namespace pistachio
--- a/Source/Core/Relay/FlowEntry.h
+++ b/Source/Core/Relay/FlowEntry.h
@@ -78,7 +78,4 @@
 bool takesNewFlows(const Holder &holder, const RouteRecord &route,
                    const ServiceTable &table);
 
-/// Returns whether the terms of the route decide how its first packets wait.
-bool hasWaitTerms(const RouteRecord &route);
-
 } // namespace pistachio
--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -10,6 +10,12 @@
 /// long, so that the next packet of the flow asks only those again.
 constexpr Duration SearchRetention{5000};
 
+/// An agent whose slots are busy asks for a pause of at most this long. One
+/// that accepts no flows asks for more and is put aside for that time, so that
+/// its declined offers need no further limit. After a restart of all agents,
+/// such a limit delayed the flows of all callers.
+constexpr Duration MaxBusyRetryDelay{100};
+
 /// A sequence number that is further ahead of the first one of a flow than this
 /// belongs to another connection with the same endpoints: two upstreams that
 /// both accepted the first packet use different initial sequence numbers.
@@ -167,7 +173,8 @@
       --entry.OfferedCopies;
       return {.Action = RelayAction::Drop, .Reason = RelayReason::Busy};
     }
-    if (const auto service = std::exchange(entry.OfferedBy, std::nullopt))
+    const auto service = std::exchange(entry.OfferedBy, std::nullopt);
+    if (service && Duration(message.RetryAfterMs) <= MaxBusyRetryDelay)
       Waiting.recordDecline(*service, now);
     entry.Attempt = visitedAgents;
     entry.Current = {};
--- a/Source/Core/Relay/FlowRouterExplanation.cpp
+++ b/Source/Core/Relay/FlowRouterExplanation.cpp
@@ -73,7 +73,7 @@
   };
   if (isHolderSilent)
     leaveOut(entry.Current.Agent);
-  const bool isByTerms = hasWaitTerms(route);
+  const bool isByTerms = waitsByTerms(route);
   const std::vector<RankedMember> candidates =
       isByTerms ? withRoom(members, now) : members;
   const auto loads = Policy->comparedLoads(candidates, local, Agents, now);
--- a/Source/Core/Relay/FlowRouterFirstPackets.cpp
+++ b/Source/Core/Relay/FlowRouterFirstPackets.cpp
@@ -77,7 +77,7 @@
   const DataCentreId localDataCentre = table.findDataCentre(Options.DataCentre);
   const std::vector<RankedMember> members =
       rankMembers(flow, service->members(), {}, localDataCentre);
-  const bool isByTerms = hasWaitTerms(route);
+  const bool isByTerms = waitsByTerms(route);
   const ServiceMember *best = nullptr;
   if (!isByTerms)
     best = Policy->choose(flow, members, localDataCentre, Agents, now);
@@ -117,7 +117,7 @@
   RelayDecision decision{.Action = RelayAction::Defer,
                          .Reason = RelayReason::Busy};
   const Duration maxDeferral = maxDeferralOf(route);
-  const bool isByTerms = hasWaitTerms(route);
+  const bool isByTerms = waitsByTerms(route);
   const bool isFull = isByTerms && !Waiting.canAdd(flow);
   const TimePoint end = *entry.DeferredSince + maxDeferral;
   if (isFull ||
@@ -136,8 +136,12 @@
   return decision;
 }
 
+bool FlowRouterImpl::waitsByTerms(const RouteRecord &route) const {
+  return Options.WaitsByTerms && (route.Terms.Urgency || route.Terms.Objective);
+}
+
 Duration FlowRouterImpl::maxDeferralOf(const RouteRecord &route) const {
-  return route.Terms.Objective
+  return waitsByTerms(route) && route.Terms.Objective
              ? std::min(*route.Terms.Objective, Options.MaxDeferralByObjective)
              : Options.MaxDeferral;
 }
--- a/Source/Core/Relay/FlowRouterImpl.h
+++ b/Source/Core/Relay/FlowRouterImpl.h
@@ -98,6 +98,8 @@
                                  const RouteRecord &route, ServiceId service,
                                  std::span<const RankedMember> members,
                                  TimePoint now);
+  /// Returns whether the terms of the route decide how its first packets wait.
+  bool waitsByTerms(const RouteRecord &route) const;
   Duration maxDeferralOf(const RouteRecord &route) const;
   /// Returns whether a flow of a route with terms may be offered now. It waits
   /// if others do, or if one of \p attempt agents has just declined it.
--- a/Source/Core/Relay/Relay.h
+++ b/Source/Core/Relay/Relay.h
@@ -195,6 +195,9 @@
   /// free, if its route states no objective. It equals the shortest
   /// response-time goal of the deployments.
   Duration MaxDeferral{100};
+  /// First packets of routes that state an objective or an urgency wait in an
+  /// order, as WaitingFlows describes.
+  bool WaitsByTerms = true;
   /// Bounds this time on routes with an objective: callers give up after 1.4 s.
   Duration MaxDeferralByObjective{1000};
   /// In a search, agents that cannot tell whether they hold the flow pass its
--- a/Source/Core/Relay/WaitingFlows.cpp
+++ b/Source/Core/Relay/WaitingFlows.cpp
@@ -15,20 +15,18 @@
 constexpr std::uint64_t LeastUrgentInterval = 10;
 
 /// Declined offers that each accepted flow allows. At most 1.5 offers may be
-/// made for each placed flow; the rest is left for ProbeInterval. With 0.4, six
-/// balancers reached 1.503 with requests of 150 ms and another seed of
-/// WaitingFlowsTest.
+/// made for each placed flow; the rest is left for ProbeInterval.
 constexpr double DeclinesPerAccept = 0.3;
 
-/// Bounds the declined offers that are allowed at once. With 5, six balancers
-/// filled the agents in turns, and urgent flows of the others were refused
-/// meanwhile (WaitingFlowsTest).
+/// Bounds the declined offers that are allowed at once. With more, balancers
+/// fill the agents in turns, and urgent flows of the others are refused
+/// meanwhile.
 constexpr double MaxBudget = 1.5;
 
 /// While the budget is used up, one flow is tried in this time, so that free
 /// upstreams are noticed. It is the time after which an agent whose slots were
-/// busy may be offered flows again. With 15 ms, six balancers made more
-/// than 1.5 offers for each placed flow (WaitingFlowsTest).
+/// busy may be offered flows again. With less, several balancers together make
+/// more than 1.5 offers for each placed flow.
 constexpr Duration ProbeInterval{20};
 
 /// A service without tries and declined offers for this long is forgotten.
--- a/Source/UnitTests/Relay/WaitingFlowsTest.cpp
+++ b/Source/UnitTests/Relay/WaitingFlowsTest.cpp
@@ -239,10 +239,11 @@
                             TestPacketFormat::encode(packet), *decision.Wait);
     return decision;
   }
-  RelayDecision decline(const FlowPacket &packet, const Endpoint &agent) {
+  RelayDecision decline(const FlowPacket &packet, const Endpoint &agent,
+                        std::uint16_t retryAfterMs = 20) {
     ReturnedPacket message;
     message.Reason = ReturnReason::Declined;
-    message.RetryAfterMs = 20;
+    message.RetryAfterMs = retryAfterMs;
     message.Load = {8, 8, 2};
     RelayDecision decision =
         Router->onReturnedPacket(packet, message, agent, *Table, Now);
@@ -303,6 +304,36 @@
   EXPECT_EQ(Router->waiting().counters().RefusedLate, 1U);
 }
 
+// Guards against slow tries after a restart of all agents, which accept no
+// flows until their upstreams have reported.
+TEST_F(WaitingRouterTest, OnlyBusyAgentsUseUpTheBudget) {
+  for (const std::uint16_t retryAfterMs : {250, 20}) {
+    for (std::uint16_t caller = 1; caller <= 3; ++caller) {
+      const auto offer = send(firstPacket(caller));
+      if (offer.Action == RelayAction::Forward)
+        decline(firstPacket(caller), offer.Agent, retryAfterMs);
+      for (const auto &it : Router->takeWaiting(*Table, Now)) {
+        const FlowPacket packet = *TestPacketFormat().decode(it.Data);
+        const auto next = send(packet);
+        if (next.Action == RelayAction::Forward)
+          decline(packet, next.Agent, retryAfterMs);
+      }
+    }
+    EXPECT_EQ(Router->waiting().isWithinBudget(Service1), retryAfterMs > 20);
+    Now += Duration(300);
+  }
+}
+
+// Guards against a queue on links where declined offers cost nothing.
+TEST_F(WaitingRouterTest, WaitsAsBeforeIfTermsAreNotUsed) {
+  Router = makeFlowRouter({.DataCentre = "x", .WaitsByTerms = false});
+  auto it = send(firstPacket(1));
+  while (it.Action == RelayAction::Forward)
+    it = decline(firstPacket(1), it.Agent);
+  EXPECT_EQ(it.Action, RelayAction::Defer);
+  EXPECT_FALSE(it.Wait);
+}
+
 // Guards against flows that wait to the end although no upstream takes flows.
 TEST_F(WaitingRouterTest, RefusesAtOnceIfNoUpstreamIsLeft) {
   fill(3);
