--- a/Source/Core/Relay/FlowRouterSearch.cpp
+++ b/Source/Core/Relay/FlowRouterSearch.cpp
@@ -105,6 +105,10 @@
   if (!search.canAdvance(now, limits))
     return decision;
   limits.MaySendPacket = isPacketKept(entry, now) && SearchPackets.hasRoom(now);
+  // Ranking the candidates of many searches that wait would cost processor time
+  // with every poll.
+  if (!limits.MaySendPacket && search.needsPacket())
+    return decision;
   const SearchCandidates agents = candidates(flow, route, table, now);
   const SearchStep step =
       search.advance(agents.All, agents.FirstRound, now, limits);
--- a/Source/Core/Relay/HolderSearch.cpp
+++ b/Source/Core/Relay/HolderSearch.cpp
@@ -130,6 +130,11 @@
   });
 }
 
+bool HolderSearch::needsPacket() const {
+  return !hasStatus(State::Queried) &&
+         (hasStatus(State::Unsure) || hasStatus(State::Chained));
+}
+
 void HolderSearch::expireInquiries(TimePoint now, Duration sendDelay) {
   std::vector<std::size_t> stoppedChains;
   for (auto &[agent, it] : Inquiries) {
--- a/Source/Core/Relay/HolderSearch.h
+++ b/Source/Core/Relay/HolderSearch.h
@@ -79,6 +79,9 @@
   void onQuerySent(const Endpoint &agent, TimePoint now);
   /// Returns whether advance() may return anything but Wait.
   bool canAdvance(TimePoint now, const SearchLimits &limits = {}) const;
+  /// Returns whether advance() needs SearchLimits::MaySendPacket to return
+  /// anything but Wait.
+  bool needsPacket() const;
   /// Returns the next step. \p candidates are all agents that may hold the
   /// flow, most likely ones first; it may differ from call to call.
   SearchStep advance(std::span<const HolderCandidate> candidates,
