Search before a reset if two upstreams may have accepted a flow

Cause: the balancer had offered a copy of the first packet that it had kept until it had a table, and another balancer a later copy. Both upstreams accepted; the caller chose the other one. Their initial sequence numbers were within 16 MiB by chance, so a return by the wrong one counted as proof that the flow was lost (holder-lost).

Ruled out: a denial by the holder's agent (the trace shows holder-lost from 10.3.0.30, which is not the holder).

Change: the reset without a search needs an acknowledgement within 128 KiB. Test: HolderSearchTest.FlowOfACloseSequenceNumberIsSearchedFor failed before.

--- a/Source/Core/Relay/FlowRouter.cpp
+++ b/Source/Core/Relay/FlowRouter.cpp
@@ -21,15 +21,23 @@
 /// both accepted the first packet use different initial sequence numbers.
 constexpr std::uint32_t SequenceWindowBytes = 16U * 1024 * 1024;
 
+/// A flow is reset without a search if its holder returns a packet that
+/// acknowledges at most this much data. Two upstreams may both have accepted
+/// copies of the first packet, the other one through another balancer; their
+/// initial sequence numbers are rarely this close. A flow of a minute with
+/// answers of 2 kB stays within it.
+constexpr std::uint32_t LostHolderWindowBytes = 128U * 1024;
+
 /// How long packets of a flow without a holder are reset without a search: its
 /// caller may have several packets on their way.
 constexpr Duration LostFlowRetention{2000};
 
 /// Returns whether the packet acknowledges data of the connection that this
 /// holder's upstream has accepted.
-bool acceptedBy(const Holder &holder, const FlowPacket &packet) {
+bool acceptedBy(const Holder &holder, const FlowPacket &packet,
+                std::uint32_t windowBytes = SequenceWindowBytes) {
   return holder.FirstSequence != 0 && packet.Acknowledges &&
-         packet.Acknowledgement - holder.FirstSequence <= SequenceWindowBytes;
+         packet.Acknowledgement - holder.FirstSequence <= windowBytes;
 }
 
 } // namespace
@@ -189,7 +197,8 @@
   RelayDecision decision;
   // An agent of another service gives packets back with a delay.
   const bool isRefused = message.RetryAfterMs > 0;
-  if (isFromHolder && !isRefused && acceptedBy(entry.Current, packet)) {
+  if (isFromHolder && !isRefused &&
+      acceptedBy(entry.Current, packet, LostHolderWindowBytes)) {
     decision = resetLostFlow(entry, flow, RelayReason::HolderLost, now);
   } else {
     entry.DataBytes = packet.DataBytes;
--- a/Source/UnitTests/Relay/HolderSearchTest.cpp
+++ b/Source/UnitTests/Relay/HolderSearchTest.cpp
@@ -287,6 +287,19 @@
   EXPECT_EQ(routeFromCaller(packet).Agent, decision.Queries[0].Agent);
 }
 
+// Guards against resetting a flow because an upstream that accepted a copy of
+// its first packet, but was not chosen by the caller, has forgotten it: the two
+// initial sequence numbers may be close by chance.
+TEST_F(HolderSearchTest, FlowOfACloseSequenceNumberIsSearchedFor) {
+  confirmHolder(1, agentEndpoint(5), 500);
+  const FlowPacket packet = dataPacket(1, 10 * 1024 * 1024);
+  ASSERT_EQ(routeFromCaller(packet).Agent, agentEndpoint(5));
+  const RelayDecision decision = returnPacket(agentEndpoint(5), packet);
+  ASSERT_EQ(decision.Action, RelayAction::Query);
+  ASSERT_TRUE(confirmHolder(1, decision.Queries[0].Agent, 10 * 1024 * 1024));
+  EXPECT_EQ(routeFromCaller(packet).Agent, decision.Queries[0].Agent);
+}
+
 // Guards against answering a caller's reset with another reset.
 TEST_F(HolderSearchTest, ResetOfALostFlowIsNotAnswered) {
   confirmHolder(1, agentEndpoint(5), 500);
