--- a/Source/Core/Relay/PlacementPolicy.cpp
+++ b/Source/Core/Relay/PlacementPolicy.cpp
@@ -49,8 +49,9 @@
 constexpr double IdleFlowsTrustMs = 10'000;
 
 /// Upstreams count as unevenly fast if their stated times for a request have a
-/// relative standard deviation above this. The measured times of equal
-/// upstreams scatter by about 0.16, those of speeds 0.7, 0.7 and 1.7 by 0.35.
+/// relative standard deviation above this. The times are moving averages and
+/// scatter also among equal upstreams; speeds of 0.7, 0.7 and 1.7 alone give
+/// 0.35.
 constexpr double UnevenTimeDeviation = 0.25;
 
 /// Number of stated times that this takes.
