Share the assumed time of a request, and state the narrow link plainly

The read-through found DefaultServiceTimeMs in AgentLoads.cpp and in PlacementPolicy.cpp with the same value and reason: it is in AgentLoads.h now. The condition for a narrow link no longer goes through a default value. No change of behaviour.

--- a/Source/Balancer/RelayBalancer.cpp
+++ b/Source/Balancer/RelayBalancer.cpp
@@ -140,8 +140,8 @@
     options.Placement = PlacementKind::Adaptive;
   options.PlacementSeed = hashServiceName(Settings.Name).Value;
   options.WaitsByTerms =
-      Settings.LinkMbitPerSecond.value_or(MaxNarrowLinkMbitPerSecond + 1) <=
-      MaxNarrowLinkMbitPerSecond;
+      Settings.LinkMbitPerSecond &&
+      *Settings.LinkMbitPerSecond <= MaxNarrowLinkMbitPerSecond;
   if (Settings.LinkMbitPerSecond)
     options.SearchBytesPerSecond = static_cast<std::uint32_t>(
         *Settings.LinkMbitPerSecond * BytesPerMbit * SearchShareOfLink);
--- a/Source/Core/Relay/AgentLoads.cpp
+++ b/Source/Core/Relay/AgentLoads.cpp
@@ -5,10 +5,6 @@
 namespace pistachio {
 namespace {
 
-/// Time for a request that is assumed for an agent that does not state it, in
-/// milliseconds. It is the order of magnitude of the deployments' requests.
-constexpr double DefaultServiceTimeMs = 25;
-
 /// Flows for each slot that an agent has with RoomKind::NextInLine: one at work
 /// and one that follows it without a pause. More would wait at the agent
 /// regardless of their urgency.
--- a/Source/Core/Relay/AgentLoads.h
+++ b/Source/Core/Relay/AgentLoads.h
@@ -10,6 +10,10 @@
 
 namespace pistachio {
 
+/// Time for a request that is assumed if no agent states it, in milliseconds.
+/// It is the order of magnitude of the deployments' requests.
+inline constexpr double DefaultServiceTimeMs = 25;
+
 /// Load and availability of an agent, as known to this balancer.
 struct AgentStatus {
   UpstreamLoad Load;
--- a/Source/Core/Relay/PlacementPolicy.cpp
+++ b/Source/Core/Relay/PlacementPolicy.cpp
@@ -23,10 +23,6 @@
 /// is short all the same.
 constexpr std::size_t MaxMembersOfOneChoice = 16;
 
-/// Time for a request that is assumed while no candidate states it, in
-/// milliseconds. It is the order of magnitude of the deployments' requests.
-constexpr double DefaultServiceTimeMs = 25;
-
 /// A candidate may be chosen although its expected load exceeds the lowest one
 /// by up to this many requests if its report is fresh, and by up to this many
 /// requests per slot if the report says nothing any more. Balancers that know
